--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,15 @@
+//! The agent: the only way to its target. It keeps the queue, grants places,
+//! dispatches each attempt at most once and knows what became of it.
+
+mod admission;
+mod announcement;
+mod answer;
+mod server;
+mod target;
+
+pub use self::{
+    admission::{Admission, Capacity, Decision, Fate, StartError},
+    announcement::Announcement,
+    server::{Agent, AgentStartError},
+    target::{REQUEST_ID, end_to_end},
+};
--- /dev/null
+++ b/src/arguments.rs
@@ -0,0 +1,355 @@
+//! The command line: a type for each command, each with a `run`.
+
+use crate::{
+    agent::Agent,
+    commands::{self, CommandError},
+    control::ControlServer,
+    dev,
+    entry::Entry,
+    settings::{AgentSettings, ControlSettings, EntrySettings, Settings},
+    signals,
+    standin::{Engine, EngineSettings, Plain, PlainSettings},
+    telemetry::Telemetry,
+    units::*,
+};
+use argh::FromArgs;
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+
+/// Schedules requests to model engines and plain services: each answered once
+/// and whole, the right work shed first.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Entry(EntryCommand),
+    Agent(AgentCommand),
+    Control(ControlCommand),
+    Check(CheckCommand),
+    Apply(ApplyCommand),
+    Get(GetCommand),
+    Status(StatusCommand),
+    Drain(DrainCommand),
+    Dev(DevCommand),
+    StandInEngine(StandInEngineCommand),
+    StandInPlain(StandInPlainCommand),
+}
+
+/// Run an entry: it takes callers' requests and finds each a target.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+struct EntryCommand {
+    /// the settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// Run the agent beside one target: it keeps the target's queue.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "agent")]
+struct AgentCommand {
+    /// the settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// Run a control instance: it keeps the document and the claims on its disk.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control")]
+struct ControlCommand {
+    /// the settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// Check a document without putting it in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckCommand {
+    /// the document
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Put a document in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+struct ApplyCommand {
+    /// the document
+    #[argh(positional)]
+    file: PathBuf,
+    /// the RPC address of a control instance; may be repeated
+    #[argh(option)]
+    control: Vec<SocketAddr>,
+    /// the version that the change was made from; the one in force by default
+    #[argh(option)]
+    expected: Option<DocumentVersion>,
+    /// identifies the change; send the same one again if the answer was lost
+    #[argh(option)]
+    change: Option<ChangeId>,
+    /// wait until the document is in force everywhere, and say where it is not
+    #[argh(switch)]
+    wait: bool,
+}
+
+/// Print the document in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "get")]
+struct GetCommand {
+    /// the RPC address of a control instance; may be repeated
+    #[argh(option)]
+    control: Vec<SocketAddr>,
+}
+
+/// Print the state of the control group and of all processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusCommand {
+    /// the RPC address of a control instance; may be repeated
+    #[argh(option)]
+    control: Vec<SocketAddr>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Stop sending new work to a target; what runs there finishes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct DrainCommand {
+    /// the target
+    #[argh(positional)]
+    target: TargetName,
+    /// the RPC address of a control instance; may be repeated
+    #[argh(option)]
+    control: Vec<SocketAddr>,
+    /// end the drain
+    #[argh(switch)]
+    undo: bool,
+}
+
+/// Run every role and stand-in targets in one process, for a first look.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "dev")]
+struct DevCommand {
+    /// the entry's port on 127.0.0.1 (default: 8080)
+    #[argh(option, default = "8080")]
+    port: u16,
+}
+
+/// Run a stand-in model engine, for tests.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "stand-in-engine")]
+struct StandInEngineCommand {
+    /// where it listens
+    #[argh(option)]
+    listen: SocketAddr,
+    /// its agent's announcement address
+    #[argh(option)]
+    announce: Option<SocketAddr>,
+    /// the service that it serves (default: drafts)
+    #[argh(option, default = "ServiceName::from(\"drafts\")")]
+    service: ServiceName,
+    /// prompt tokens computed a second (default: 20000)
+    #[argh(option, default = "20_000")]
+    prefill_tokens_per_s: u64,
+    /// tokens generated a second for each request (default: 200)
+    #[argh(option, default = "200")]
+    decode_tokens_per_s: u64,
+    /// requests in the batch (default: 16)
+    #[argh(option, default = "16")]
+    slots: usize,
+    /// tokens held at one time (default: 32768)
+    #[argh(option, default = "TokenCount(32_768)")]
+    kv_tokens: TokenCount,
+    /// prompt tokens kept in the prefix cache (default: 65536)
+    #[argh(option, default = "TokenCount(65_536)")]
+    cache_tokens: TokenCount,
+}
+
+/// Run a stand-in plain service, for tests.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "stand-in-plain")]
+struct StandInPlainCommand {
+    /// where it listens
+    #[argh(option)]
+    listen: SocketAddr,
+    /// its agent's announcement address
+    #[argh(option)]
+    announce: Option<SocketAddr>,
+    /// the service that it serves (default: filings)
+    #[argh(option, default = "ServiceName::from(\"filings\")")]
+    service: ServiceName,
+    /// how long one request takes, in milliseconds (default: 10)
+    #[argh(option, default = "10")]
+    delay_ms: u64,
+    /// requests at one time (default: 64)
+    #[argh(option, default = "64")]
+    slots: usize,
+}
+
+/// Reads the command line and runs the command. The exit code is 0 for
+/// success, 1 for a failure and 2 for bad usage, settings or documents.
+pub fn run() -> ExitCode {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (name, rest) = words.split_first().unwrap_or((&"guavacove", &[]));
+    let arguments = match Arguments::from_args(&[name], rest) {
+        Ok(arguments) => arguments,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => {
+            eprintln!(
+                "{}\nRun `guavacove --help` for the commands.",
+                exit.output.trim_end()
+            );
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(arguments.command.run()),
+        Err(error) => Err(CommandError::Failed(error.to_string())),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("guavacove: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+impl Command {
+    async fn run(self) -> Result<(), CommandError> {
+        match self {
+            Self::Entry(command) => command.run().await,
+            Self::Agent(command) => command.run().await,
+            Self::Control(command) => command.run().await,
+            Self::Check(command) => commands::check(&command.file),
+            Self::Apply(command) => command.run().await,
+            Self::Get(command) => commands::get(command.control).await,
+            Self::Status(command) => commands::status(command.control, command.json).await,
+            Self::Drain(DrainCommand {
+                target,
+                control,
+                undo,
+            }) => commands::drain(control, target, !undo).await,
+            Self::Dev(command) => dev::run(command.port).await,
+            Self::StandInEngine(command) => command.run().await,
+            Self::StandInPlain(command) => command.run().await,
+        }
+    }
+}
+
+impl EntryCommand {
+    async fn run(self) -> Result<(), CommandError> {
+        let settings = EntrySettings::read(&self.settings)?;
+        let telemetry = Telemetry::install(&settings.telemetry, &settings.name.0);
+        let entry = Entry::bind(&settings).await?;
+        signals::stop_requested().await;
+        entry.shutdown().await;
+        telemetry.flush();
+        Ok(())
+    }
+}
+
+impl AgentCommand {
+    async fn run(self) -> Result<(), CommandError> {
+        let settings = AgentSettings::read(&self.settings)?;
+        let telemetry = Telemetry::install(&settings.telemetry, &settings.name.0);
+        let agent = Agent::bind(&settings).await?;
+        signals::stop_requested().await;
+        agent.shutdown().await;
+        telemetry.flush();
+        Ok(())
+    }
+}
+
+impl ControlCommand {
+    async fn run(self) -> Result<(), CommandError> {
+        let settings = ControlSettings::read(&self.settings)?;
+        let process = format!("control-{}", settings.number);
+        let telemetry = Telemetry::install(&settings.telemetry, &process);
+        let mut control = ControlServer::spawn(&settings).await?;
+        tokio::select! {
+            () = signals::stop_requested() => {}
+            () = control.failed() => {
+                let message = "the replica stopped; its log line says why".to_string();
+                return Err(CommandError::Failed(message));
+            }
+        }
+        control.shutdown().await;
+        telemetry.flush();
+        Ok(())
+    }
+}
+
+impl ApplyCommand {
+    async fn run(self) -> Result<(), CommandError> {
+        let Self {
+            file,
+            control,
+            expected,
+            change,
+            wait,
+        } = self;
+        commands::apply(commands::Apply {
+            file,
+            control,
+            expected,
+            change,
+            wait,
+        })
+        .await
+    }
+}
+
+impl StandInEngineCommand {
+    async fn run(self) -> Result<(), CommandError> {
+        let settings = EngineSettings {
+            announce: self.announce,
+            prefill_tokens_per_s: self.prefill_tokens_per_s,
+            decode_tokens_per_s: self.decode_tokens_per_s,
+            slots: self.slots,
+            kv_tokens: self.kv_tokens,
+            cache_tokens: self.cache_tokens,
+            ..EngineSettings::new(self.listen, self.service)
+        };
+        let engine = Engine::bind(settings).await.map_err(CommandError::failed)?;
+        signals::stop_requested().await;
+        engine.shutdown().await;
+        Ok(())
+    }
+}
+
+impl StandInPlainCommand {
+    async fn run(self) -> Result<(), CommandError> {
+        let Self {
+            listen,
+            announce,
+            service,
+            delay_ms,
+            slots,
+        } = self;
+        let settings = PlainSettings {
+            listen,
+            announce,
+            service,
+            delay_ms,
+            slots,
+        };
+        let plain = Plain::bind(settings).await.map_err(CommandError::failed)?;
+        signals::stop_requested().await;
+        plain.shutdown().await;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,316 @@
+//! What operators' commands do.
+
+use crate::{
+    agent::AgentStartError,
+    control::{
+        ControlClient,
+        client::ControlCallError,
+        members::ProcessRole,
+        rpc::{ApplyReply, ControlError, ControlRpcClient, StatusReply},
+        server::ControlStartError,
+    },
+    document::Policy,
+    entry::EntryStartError,
+    settings::SettingsError,
+    units::*,
+};
+use std::{
+    fmt, fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// How long one try may take.
+const CALL_TIMEOUT_MS: u64 = 2000;
+/// How long a command looks for the leader.
+const COMMAND_TIMEOUT_MS: u64 = 10_000;
+/// How long `apply --wait` waits.
+const IN_FORCE_TIMEOUT_MS: u64 = 10_000;
+/// How often `apply --wait` looks.
+const IN_FORCE_INTERVAL_MS: u64 = 50;
+
+/// Why a command did not succeed.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum CommandError {
+    /// See [`SettingsError`].
+    Settings(SettingsError),
+    /// See [`EntryStartError`].
+    Entry(EntryStartError),
+    /// See [`AgentStartError`].
+    Agent(AgentStartError),
+    /// See [`ControlStartError`].
+    Control(ControlStartError),
+    /// See [`ControlCallError`].
+    Call(ControlCallError),
+    /// The input is not valid.
+    #[from(ignore)]
+    #[error(ignore)]
+    Invalid(String),
+    /// Something else failed.
+    #[from(ignore)]
+    #[error(ignore)]
+    Failed(String),
+}
+
+impl CommandError {
+    /// A failure in the words of another error.
+    pub fn failed(error: impl fmt::Display) -> Self {
+        Self::Failed(error.to_string())
+    }
+
+    /// 2 for bad usage, settings or documents, 1 otherwise.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Settings(_)
+            | Self::Invalid(_)
+            | Self::Call(ControlCallError::Refused(ControlError::Invalid(_))) => 2,
+            _ => 1,
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<String, CommandError> {
+    fs::read_to_string(file)
+        .map_err(|error| CommandError::Invalid(format!("{}: {error}", file.display())))
+}
+
+fn client(control: Vec<SocketAddr>) -> Result<ControlClient, CommandError> {
+    match control.is_empty() {
+        true => {
+            let message = "name a control instance with --control ADDRESS".to_string();
+            Err(CommandError::Invalid(message))
+        }
+        false => Ok(ControlClient::new(control)),
+    }
+}
+
+/// Checks a document.
+///
+/// # Errors
+/// Fails with every fault, each with its line.
+pub fn check(file: &Path) -> Result<(), CommandError> {
+    let yaml = read(file)?;
+    Policy::compile(DocumentVersion(0), &yaml).map_err(|faults| {
+        let lines = faults.0.iter().map(|fault| {
+            format!(
+                "{}:{}: {}: {}",
+                file.display(),
+                fault.line,
+                fault.path,
+                fault.message
+            )
+        });
+        CommandError::Invalid(lines.collect::<Vec<String>>().join("\n"))
+    })?;
+    println!("{}: valid", file.display());
+    Ok(())
+}
+
+/// What `apply` is told.
+pub struct Apply {
+    /// The document.
+    pub file: PathBuf,
+    /// RPC addresses of control instances.
+    pub control: Vec<SocketAddr>,
+    /// The version that the change was made from.
+    pub expected: Option<DocumentVersion>,
+    /// Identifies the change.
+    pub change: Option<ChangeId>,
+    /// Whether to wait until it is in force everywhere.
+    pub wait: bool,
+}
+
+/// Puts a document in force.
+///
+/// # Errors
+/// Fails if it is not valid, if another change came first, or if no leader answers.
+pub async fn apply(arguments: Apply) -> Result<(), CommandError> {
+    let Apply {
+        file,
+        control,
+        expected,
+        change,
+        wait,
+    } = arguments;
+    check(&file)?;
+    let yaml = read(&file)?;
+    let client = client(control)?;
+    let change = change.unwrap_or_else(|| ChangeId(RequestId::random().to_string()));
+    let expected = match expected {
+        Some(expected) => expected,
+        None => {
+            let get = client.call(CALL_TIMEOUT_MS, COMMAND_TIMEOUT_MS, |client| async move {
+                client.get().await
+            });
+            get.await?.version
+        }
+    };
+    let reply = client.call(CALL_TIMEOUT_MS, COMMAND_TIMEOUT_MS, |client| {
+        let (change, yaml) = (change.clone(), yaml.clone());
+        async move { client.apply(change, expected, yaml).await }
+    });
+    let reply = reply.await.map_err(|error| match error {
+        ControlCallError::Unavailable(_) => CommandError::Failed(format!(
+            "{error}; the change may be accepted. Send it again with --change {change} --expected \
+             {expected}"
+        )),
+        refused => refused.into(),
+    })?;
+    match reply {
+        ApplyReply::Applied(version) => {
+            println!("accepted as version {version} (change {change})");
+            match wait {
+                true => wait_in_force(&client, version).await,
+                false => Ok(()),
+            }
+        }
+        ApplyReply::Lost { current, winner } => Err(CommandError::Failed(format!(
+            "not accepted: version {expected} is not in force any more. Version {current} is, made \
+             by change {winner}. Get it, make your change on top of it, and apply again."
+        ))),
+        ApplyReply::ChangeReused => Err(CommandError::Failed(format!(
+            "not accepted: the change id {change} was used for another document"
+        ))),
+    }
+}
+
+/// Waits until a version is in force in every process.
+async fn wait_in_force(
+    client: &ControlClient,
+    version: DocumentVersion,
+) -> Result<(), CommandError> {
+    let started = Instant::now();
+    loop {
+        let status = read_status(client).await?;
+        let behind: Vec<String> = status
+            .processes
+            .iter()
+            .filter(|(_, known)| *known < version)
+            .map(|(member, known)| format!("{} has version {known}", member.name))
+            .collect();
+        let elapsed = started.elapsed();
+        if behind.is_empty() {
+            let count = status.processes.len();
+            println!(
+                "in force in all {count} processes after {} ms",
+                elapsed.as_millis()
+            );
+            return Ok(());
+        }
+        if elapsed > Duration::from_millis(IN_FORCE_TIMEOUT_MS) {
+            let message = format!("not in force everywhere: {}", behind.join(", "));
+            return Err(CommandError::Failed(message));
+        }
+        tokio::time::sleep(Duration::from_millis(IN_FORCE_INTERVAL_MS)).await;
+    }
+}
+
+async fn read_status(client: &ControlClient) -> Result<StatusReply, CommandError> {
+    let status = client.call(CALL_TIMEOUT_MS, COMMAND_TIMEOUT_MS, |client| async move {
+        client.status().await
+    });
+    Ok(status.await?)
+}
+
+/// Prints the document in force.
+///
+/// # Errors
+/// Fails if no leader answers.
+pub async fn get(control: Vec<SocketAddr>) -> Result<(), CommandError> {
+    let client = client(control)?;
+    let get = client.call(CALL_TIMEOUT_MS, COMMAND_TIMEOUT_MS, |client| async move {
+        client.get().await
+    });
+    let document = get.await?;
+    println!(
+        "# version {} (change {})",
+        document.version, document.change
+    );
+    print!("{}", document.yaml);
+    Ok(())
+}
+
+/// Prints the state of the control group and of all processes.
+///
+/// # Errors
+/// Fails if no leader answers.
+pub async fn status(control: Vec<SocketAddr>, json: bool) -> Result<(), CommandError> {
+    let status = read_status(&client(control)?).await?;
+    match json {
+        true => println!(
+            "{}",
+            serde_json::to_string_pretty(&status).unwrap_or_default()
+        ),
+        false => print!("{status}"),
+    }
+    Ok(())
+}
+
+impl fmt::Display for StatusReply {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        writeln!(
+            f,
+            "leader {} in term {}, entry {}",
+            self.leader, self.term, self.commit_index
+        )?;
+        for replica in &self.replicas {
+            let kind = if replica.voter { "voter" } else { "learner" };
+            writeln!(
+                f,
+                "  replica {} ({kind}) holds entry {}",
+                replica.id, replica.match_index
+            )?;
+        }
+        writeln!(
+            f,
+            "document version {}, {} claims",
+            self.document_version, self.claims
+        )?;
+        for (member, version) in &self.processes {
+            let role = match member.role {
+                ProcessRole::Entry => "entry",
+                ProcessRole::Agent => "agent",
+            };
+            let target = match &member.target {
+                Some(target) if target.leaving => format!(", {} (leaving)", target.service),
+                Some(target) => format!(", {}", target.service),
+                None => String::new(),
+            };
+            writeln!(
+                f,
+                "  {role} {} in {} at {}, version {version}{target}",
+                member.name, member.failure_domain, member.address
+            )?;
+        }
+        for target in &self.drains {
+            writeln!(f, "  drained: {target}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Starts or ends the drain of a target.
+///
+/// # Errors
+/// Fails if no leader answers.
+pub async fn drain(
+    control: Vec<SocketAddr>,
+    target: TargetName,
+    draining: bool,
+) -> Result<(), CommandError> {
+    let client = client(control)?;
+    let drain = client.call(CALL_TIMEOUT_MS, COMMAND_TIMEOUT_MS, |client| {
+        let target = target.clone();
+        async move { client.drain(target, draining).await }
+    });
+    drain.await?;
+    let state = if draining {
+        "takes no new work"
+    } else {
+        "takes work again"
+    };
+    println!("{target} {state}");
+    Ok(())
+}
--- /dev/null
+++ b/src/control/rpc.rs
@@ -0,0 +1,203 @@
+//! The control group's RPC: JSON-RPC over HTTP.
+
+use super::{
+    command::{Claim, ClaimKey, ClaimedAttempt, Outcome},
+    members::*,
+    state::AcceptedDocument,
+};
+use crate::{derives::record, document::Faults, units::*};
+use jsonrpsee::{
+    core::RpcResult,
+    proc_macros::rpc,
+    types::{ErrorObjectOwned, error::ErrorCode},
+};
+
+record! {
+    /// Announces a process, renews its lease and asks for what it lacks.
+    pub struct SyncRequest {
+        /// The process.
+        pub member: Member,
+        /// The document that it has in force.
+        pub document_version: DocumentVersion,
+        /// How far it has followed the members; `None` if it needs none.
+        pub members_wanted: bool,
+        /// See `members_wanted`.
+        pub members_seen: Option<MembersSeen>,
+        /// Whether a drain of its target is known to it.
+        pub draining: bool,
+        /// How long the leader may wait for something new, in milliseconds.
+        pub wait_ms: u64,
+        /// Whether the process says goodbye.
+        pub goodbye: bool,
+    }
+
+    /// What a process lacks. It holds from when the request was sent.
+    pub struct SyncReply {
+        /// The leader's fencing number.
+        pub fencing: FencingNumber,
+        /// The document, if the process has an older one.
+        pub document: Option<AcceptedDocument>,
+        /// What it lacks of the members.
+        pub members: Option<MemberChanges>,
+        /// Whether its target is to take no new work.
+        pub draining: bool,
+    }
+
+    /// The answer to a change of the document.
+    pub enum ApplyReply {
+        /// It is accepted.
+        Applied(DocumentVersion),
+        /// Another change came first.
+        Lost {
+            /// The version in force.
+            current: DocumentVersion,
+            /// The change that made it.
+            winner: ChangeId,
+        },
+        /// The change id was used for another document.
+        ChangeReused,
+    }
+
+    /// The answer to a claim.
+    pub enum ClaimReply {
+        /// Dispatch.
+        Claimed,
+        /// The key is claimed already.
+        Held(Box<Claim>),
+    }
+
+    /// One replica, as the leader sees it.
+    pub struct ReplicaStatus {
+        /// The replica.
+        pub id: String,
+        /// Voter or learner.
+        pub voter: bool,
+        /// The last entry that it is known to hold.
+        pub match_index: u64,
+    }
+
+    /// The state of the control group and of all processes.
+    pub struct StatusReply {
+        /// The leader's replica.
+        pub leader: String,
+        /// Its term.
+        pub term: FencingNumber,
+        /// The last committed entry.
+        pub commit_index: u64,
+        /// The replicas.
+        pub replicas: Vec<ReplicaStatus>,
+        /// The document's version.
+        pub document_version: DocumentVersion,
+        /// How many claims are kept.
+        pub claims: u64,
+        /// The targets that are being drained.
+        pub drains: Vec<TargetName>,
+        /// Every process, and the version that it has in force.
+        pub processes: Vec<(Member, DocumentVersion)>,
+    }
+}
+
+/// The RPC as `jsonrpsee` serves and calls it.
+#[rpc(server, client, namespace = "guavacove")]
+pub trait ControlRpc {
+    /// See [`SyncRequest`].
+    #[method(name = "sync")]
+    async fn sync(&self, request: SyncRequest) -> RpcResult<SyncReply>;
+
+    /// Changes the document.
+    #[method(name = "apply")]
+    async fn apply(
+        &self,
+        change: ChangeId,
+        expected: DocumentVersion,
+        yaml: String,
+    ) -> RpcResult<ApplyReply>;
+
+    /// Reads the document in force.
+    #[method(name = "get")]
+    async fn get(&self) -> RpcResult<AcceptedDocument>;
+
+    /// Claims a key before a dispatch.
+    #[method(name = "claim")]
+    async fn claim(
+        &self,
+        key: ClaimKey,
+        fingerprint: Vec<u8>,
+        attempt: ClaimedAttempt,
+        replaces: Option<(RequestId, Attempt)>,
+    ) -> RpcResult<ClaimReply>;
+
+    /// Records what became of a claim; returns what is on record.
+    #[method(name = "settle")]
+    async fn settle(
+        &self,
+        key: ClaimKey,
+        request: RequestId,
+        attempt: Attempt,
+        outcome: Outcome,
+    ) -> RpcResult<Option<Outcome>>;
+
+    /// Reads the claim of a key.
+    #[method(name = "claim_of")]
+    async fn claim_of(&self, key: ClaimKey) -> RpcResult<Option<Claim>>;
+
+    /// Starts or ends the drain of a target.
+    #[method(name = "drain")]
+    async fn drain(&self, target: TargetName, draining: bool) -> RpcResult<()>;
+
+    /// Reads the state of the control group.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<StatusReply>;
+}
+
+/// Why a control instance did not do what it was asked.
+#[derive(Clone, Debug, derive_more::Display, derive_more::Error)]
+#[error(ignore)]
+pub enum ControlError {
+    /// Ask another instance; perhaps at this address.
+    #[display("this control instance does not lead the group")]
+    NotLeader(Option<String>),
+    /// It may or may not be committed: send the same change again.
+    #[display("leadership changed before the change was committed; send it again")]
+    Unresolved,
+    /// The document is not valid.
+    #[display("{_0}")]
+    Invalid(Faults),
+}
+
+const NOT_LEADER_CODE: i32 = -32001;
+const UNRESOLVED_CODE: i32 = -32002;
+const INVALID_CODE: i32 = -32003;
+
+impl From<ControlError> for ErrorObjectOwned {
+    fn from(error: ControlError) -> Self {
+        let message = error.to_string();
+        match error {
+            ControlError::NotLeader(address) => Self::owned(NOT_LEADER_CODE, message, address),
+            ControlError::Unresolved => Self::owned(UNRESOLVED_CODE, message, None::<()>),
+            ControlError::Invalid(faults) => Self::owned(INVALID_CODE, message, Some(faults)),
+        }
+    }
+}
+
+impl ControlError {
+    /// Reads an error that came over RPC; `None` for any other one.
+    pub fn from_rpc(error: &ErrorObjectOwned) -> Option<Self> {
+        fn data<T: serde::de::DeserializeOwned>(error: &ErrorObjectOwned) -> Option<T> {
+            error
+                .data()
+                .and_then(|data| serde_json::from_str(data.get()).ok())
+        }
+        match error.code() {
+            NOT_LEADER_CODE => Some(Self::NotLeader(data(error))),
+            UNRESOLVED_CODE => Some(Self::Unresolved),
+            INVALID_CODE => Some(Self::Invalid(data(error)?)),
+            _ => None,
+        }
+    }
+}
+
+/// The replica has stopped.
+pub fn stopped() -> ErrorObjectOwned {
+    ErrorCode::InternalError.into()
+}
--- /dev/null
+++ b/src/control/server.rs
@@ -0,0 +1,244 @@
+//! A running control instance.
+
+use super::{
+    command::{Claim, ClaimKey, ClaimedAttempt, Command, Outcome, Reply},
+    peers::{self, Peers},
+    replica::*,
+    rpc::*,
+    state::AcceptedDocument,
+};
+use crate::{
+    consensus::{Storage, StorageError},
+    settings::ControlSettings,
+    threads,
+    units::*,
+};
+use jsonrpsee::{
+    core::RpcResult,
+    server::{Server, ServerConfig, ServerHandle},
+};
+use ractor::{Actor, ActorRef};
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{net::TcpListener, sync::oneshot};
+
+/// The largest RPC request, in bytes: a document or a recorded answer.
+const RPC_LIMIT_BYTES: u32 = 32 * 1024 * 1024;
+/// The most RPC connections at one time.
+const RPC_CONNECTIONS: u32 = 10_000;
+/// How long a stopping leader waits for another to take over.
+const HAND_OVER_MS: u64 = 300;
+
+/// Why a control instance cannot start.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum ControlStartError {
+    /// See [`StorageError`].
+    Storage(StorageError),
+    /// An address cannot be bound.
+    #[display("cannot listen: {_0}")]
+    Io(io::Error),
+    /// The actor did not start.
+    #[display("the replica did not start: {_0}")]
+    Spawn(ractor::SpawnErr),
+}
+
+/// A running control instance.
+pub struct ControlServer {
+    replica: ActorRef<ReplicaMessage>,
+    rpc: ServerHandle,
+    rpc_address: SocketAddr,
+    stopped: oneshot::Receiver<()>,
+}
+
+impl ControlServer {
+    /// Opens the data folder, binds the addresses and starts.
+    ///
+    /// # Errors
+    /// Fails if the folder or an address cannot be used.
+    pub async fn spawn(settings: &ControlSettings) -> Result<Self, ControlStartError> {
+        let (storage, durable) = Storage::open(&settings.data_folder, settings.number)?;
+        let own = settings.own();
+        let peer_listener = TcpListener::bind(own.peer).await?;
+        let others = settings
+            .peers
+            .iter()
+            .filter(|peer| peer.number != settings.number);
+        let peers = Peers::spawn(others.map(|peer| (peer.number, peer.peer)).collect());
+        let instances = settings.peers.clone();
+        let arguments = ReplicaArguments {
+            storage,
+            durable,
+            peers,
+            instances,
+        };
+        let (started, ready) = oneshot::channel();
+        let (ended, stopped) = oneshot::channel();
+        threads::spawn_control("control", async move {
+            match Actor::spawn(None, Replica, arguments).await {
+                Ok((replica, running)) => {
+                    let _ = started.send(Ok(replica.clone()));
+                    tokio::spawn(tick(replica));
+                    let _ = running.await;
+                }
+                Err(error) => drop(started.send(Err(error))),
+            }
+            let _ = ended.send(());
+        });
+        let replica = ready
+            .await
+            .map_err(|_| ractor::SpawnErr::StartupFailed("its thread ended".into()))??;
+        tokio::spawn(peers::accept(peer_listener, replica.clone()));
+        let config = ServerConfig::builder()
+            .max_request_body_size(RPC_LIMIT_BYTES)
+            .max_response_body_size(RPC_LIMIT_BYTES)
+            .max_connections(RPC_CONNECTIONS)
+            .build();
+        let server = Server::builder().set_config(config).build(own.rpc).await?;
+        let rpc_address = server.local_addr()?;
+        let rpc = server.start(Rpc(replica.clone()).into_rpc());
+        tracing::info!("control: serves RPC at {rpc_address}");
+        Ok(Self {
+            replica,
+            rpc,
+            rpc_address,
+            stopped,
+        })
+    }
+
+    /// Where RPC is served.
+    pub fn rpc_address(&self) -> SocketAddr {
+        self.rpc_address
+    }
+
+    /// Completes if the replica stops by itself, as when its disk fails.
+    pub async fn failed(&mut self) {
+        let _ = (&mut self.stopped).await;
+    }
+
+    /// Hands over leadership, then stops.
+    pub async fn shutdown(self) {
+        let (port, done) = oneshot::channel();
+        let _ = self.replica.cast(ReplicaMessage::HandOver(port));
+        let _ = done.await;
+        tokio::time::sleep(Duration::from_millis(HAND_OVER_MS)).await;
+        let _ = self.rpc.stop();
+        self.replica.stop(None);
+        tracing::info!("control: stopped");
+    }
+}
+
+async fn tick(replica: ActorRef<ReplicaMessage>) {
+    let mut interval = tokio::time::interval(Duration::from_millis(TICK_MS));
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        if replica.cast(ReplicaMessage::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+/// Passes RPC to the replica.
+struct Rpc(ActorRef<ReplicaMessage>);
+
+impl Rpc {
+    async fn ask<T>(&self, message: impl FnOnce(Port<T>) -> ReplicaMessage) -> RpcResult<T> {
+        let (port, reply) = oneshot::channel();
+        self.0.cast(message(port)).map_err(|_| stopped())?;
+        Ok(reply.await.map_err(|_| stopped())??)
+    }
+
+    async fn propose(&self, command: Command) -> RpcResult<Reply> {
+        self.ask(|port| ReplicaMessage::Propose(command, port))
+            .await
+    }
+}
+
+#[jsonrpsee::core::async_trait]
+impl ControlRpcServer for Rpc {
+    async fn sync(&self, request: SyncRequest) -> RpcResult<SyncReply> {
+        self.ask(|port| ReplicaMessage::Sync(request, port)).await
+    }
+
+    async fn apply(
+        &self,
+        change: ChangeId,
+        expected: DocumentVersion,
+        yaml: String,
+    ) -> RpcResult<ApplyReply> {
+        check(&yaml)?;
+        match self
+            .propose(Command::Apply {
+                change,
+                expected,
+                yaml,
+            })
+            .await?
+        {
+            Reply::Applied(version) => Ok(ApplyReply::Applied(version)),
+            Reply::Lost { current, winner } => Ok(ApplyReply::Lost { current, winner }),
+            Reply::ChangeReused => Ok(ApplyReply::ChangeReused),
+            _ => Err(stopped()),
+        }
+    }
+
+    async fn get(&self) -> RpcResult<AcceptedDocument> {
+        self.ask(ReplicaMessage::Get).await
+    }
+
+    async fn claim(
+        &self,
+        key: ClaimKey,
+        fingerprint: Vec<u8>,
+        attempt: ClaimedAttempt,
+        replaces: Option<(RequestId, Attempt)>,
+    ) -> RpcResult<ClaimReply> {
+        let now_unix_ms = unix_ms();
+        let command = Command::Claim {
+            key,
+            fingerprint,
+            attempt,
+            replaces,
+            now_unix_ms,
+        };
+        match self.propose(command).await? {
+            Reply::Claimed => Ok(ClaimReply::Claimed),
+            Reply::Held(claim) => Ok(ClaimReply::Held(Box::new(claim))),
+            _ => Err(stopped()),
+        }
+    }
+
+    async fn settle(
+        &self,
+        key: ClaimKey,
+        request: RequestId,
+        attempt: Attempt,
+        outcome: Outcome,
+    ) -> RpcResult<Option<Outcome>> {
+        match self
+            .propose(Command::Settle {
+                key,
+                request,
+                attempt,
+                outcome,
+            })
+            .await?
+        {
+            Reply::Settled(outcome) => Ok(outcome),
+            _ => Err(stopped()),
+        }
+    }
+
+    async fn claim_of(&self, key: ClaimKey) -> RpcResult<Option<Claim>> {
+        self.ask(|port| ReplicaMessage::ClaimOf(key, port)).await
+    }
+
+    async fn drain(&self, target: TargetName, draining: bool) -> RpcResult<()> {
+        self.propose(Command::Drain { target, draining })
+            .await
+            .map(drop)
+    }
+
+    async fn status(&self) -> RpcResult<StatusReply> {
+        self.ask(ReplicaMessage::Status).await
+    }
+}
--- /dev/null
+++ b/src/control_view.rs
@@ -0,0 +1,267 @@
+//! What a process outside the control group knows of it, and until when.
+//!
+//! A task renews the view over RPC; an actor on the control thread merges each
+//! reply; traffic reads a snapshot that is swapped whole. A view that has not
+//! been renewed for [`VIEW_LEASE_MS`] is out of date: the process then refuses
+//! new work, as a newer document may be in force.
+
+use crate::{
+    control::{ControlClient, members::*, rpc::*},
+    document::Policy,
+    threads,
+    units::*,
+};
+use arc_swap::ArcSwap;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::sync::watch;
+
+/// How long a view holds after the request that renewed it was sent.
+pub const VIEW_LEASE_MS: u64 = 3500;
+/// How long the leader may hold a renewal back while there is nothing new.
+const RENEWAL_WAIT_MS: u64 = 800;
+/// How long one renewal may take.
+const RENEWAL_TIMEOUT_MS: u64 = 1500;
+/// How long a goodbye may take.
+const GOODBYE_TIMEOUT_MS: u64 = 1000;
+
+/// What a process knows of the control group.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The document in force.
+    pub policy: Arc<Policy>,
+    /// The agents that have a target.
+    pub agents: Arc<BTreeMap<ProcessName, Member>>,
+    /// The leader's fencing number.
+    pub fencing: FencingNumber,
+    /// Whether the target beside this process is to take no new work.
+    pub draining: bool,
+    valid_until: Option<Instant>,
+    members_seen: Option<MembersSeen>,
+}
+
+impl View {
+    /// Whether the view may be acted on.
+    pub fn holds(&self) -> bool {
+        self.policy.version > DocumentVersion(0)
+            && self.valid_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// The ready agents of a service.
+    pub fn agents_of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Member> {
+        self.agents.values().filter(move |member| {
+            member
+                .target
+                .as_ref()
+                .is_some_and(|t| t.service == *service && !t.leaving)
+        })
+    }
+}
+
+/// Keeps a process's view and its announcement.
+pub struct ControlView {
+    view: Arc<ArcSwap<View>>,
+    versions: watch::Receiver<DocumentVersion>,
+    announcement: watch::Sender<Member>,
+    client: Arc<ControlClient>,
+}
+
+impl ControlView {
+    /// Announces a process and starts to renew its view on a control thread.
+    pub fn spawn(client: Arc<ControlClient>, member: Member) -> Self {
+        let view = Arc::new(ArcSwap::from_pointee(View::default()));
+        let (version_sender, versions) = watch::channel(DocumentVersion(0));
+        let (announcement, announced) = watch::channel(member);
+        let arguments = (Arc::clone(&view), version_sender);
+        let renewing = Renewing {
+            client: Arc::clone(&client),
+            view: Arc::clone(&view),
+            announced,
+        };
+        threads::spawn_control("control-view", async move {
+            match Actor::spawn(None, ViewKeeper, arguments).await {
+                Ok((keeper, _)) => renewing.run(keeper).await,
+                Err(error) => tracing::error!("view: the actor did not start: {error}"),
+            }
+        });
+        Self {
+            view,
+            versions,
+            announcement,
+            client,
+        }
+    }
+
+    /// The view at this moment.
+    pub fn load(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Changes what this process says of itself; it is sent at once.
+    pub fn announce(&self, change: impl FnOnce(&mut Member)) {
+        self.announcement.send_if_modified(|member| {
+            let before = member.clone();
+            change(member);
+            *member != before
+        });
+    }
+
+    /// Waits until a document of this version or a later one is in force here.
+    pub async fn wait_for(&self, version: DocumentVersion, wait_ms: u64) -> bool {
+        let mut versions = self.versions.clone();
+        let reached = versions.wait_for(|known| *known >= version);
+        tokio::time::timeout(Duration::from_millis(wait_ms), reached)
+            .await
+            .is_ok_and(|r| r.is_ok())
+    }
+
+    /// Says goodbye to the control group.
+    pub async fn goodbye(&self) {
+        let member = self.announcement.borrow().clone();
+        let request = request(member, &self.load(), true);
+        let call = self
+            .client
+            .call(GOODBYE_TIMEOUT_MS, GOODBYE_TIMEOUT_MS, |client| {
+                let request = request.clone();
+                async move { client.sync(request).await }
+            });
+        let _ = call.await;
+    }
+}
+
+fn request(member: Member, view: &View, goodbye: bool) -> SyncRequest {
+    SyncRequest {
+        document_version: view.policy.version,
+        members_wanted: member.role == ProcessRole::Entry,
+        members_seen: view.members_seen.clone(),
+        draining: view.draining,
+        wait_ms: if goodbye { 0 } else { RENEWAL_WAIT_MS },
+        goodbye,
+        member,
+    }
+}
+
+struct Renewing {
+    client: Arc<ControlClient>,
+    view: Arc<ArcSwap<View>>,
+    announced: watch::Receiver<Member>,
+}
+
+impl Renewing {
+    async fn run(mut self, keeper: ActorRef<Renewed>) {
+        loop {
+            let member = self.announced.borrow_and_update().clone();
+            let sent = Instant::now();
+            let request = request(member, &self.view.load(), false);
+            let renewal = self
+                .client
+                .call(RENEWAL_TIMEOUT_MS, RENEWAL_TIMEOUT_MS, |client| {
+                    let request = request.clone();
+                    async move { client.sync(request).await }
+                });
+            let reply = tokio::select! {
+                reply = renewal => reply,
+                changed = self.announced.changed() => match changed {
+                    Ok(()) => continue,
+                    Err(_) => return,
+                },
+            };
+            match reply {
+                Ok(reply) => {
+                    let _ = ractor::call!(keeper, |done| Renewed { reply, sent, done });
+                }
+                Err(error) => tracing::warn!("view: not renewed: {error}"),
+            }
+        }
+    }
+}
+
+/// A reply to merge into the view.
+struct Renewed {
+    reply: SyncReply,
+    sent: Instant,
+    done: ractor::RpcReplyPort<()>,
+}
+
+/// The actor that merges replies.
+struct ViewKeeper;
+
+type Published = (Arc<ArcSwap<View>>, watch::Sender<DocumentVersion>);
+
+impl Actor for ViewKeeper {
+    type Msg = Renewed;
+    type State = Published;
+    type Arguments = Published;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        published: Published,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(published)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        Renewed { reply, sent, done }: Self::Msg,
+        (view, versions): &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        let mut next = View::clone(&view.load());
+        if reply.fencing >= next.fencing && merge(&mut next, reply) {
+            next.valid_until = Some(sent + Duration::from_millis(VIEW_LEASE_MS));
+            let version = next.policy.version;
+            view.store(Arc::new(next));
+            versions.send_if_modified(|known| std::mem::replace(known, version) != version);
+        }
+        let _ = done.send(());
+        Ok(())
+    }
+}
+
+/// Merges a reply; returns whether the view is whole afterwards.
+fn merge(view: &mut View, reply: SyncReply) -> bool {
+    if let Some(document) = reply
+        .document
+        .filter(|new| new.version > view.policy.version)
+    {
+        match Policy::compile(document.version, &document.yaml) {
+            Ok(policy) => {
+                tracing::info!("view: document {} is in force", policy.version);
+                view.policy = Arc::new(policy);
+            }
+            Err(faults) => {
+                tracing::error!(
+                    "view: document {} is not usable: {faults}",
+                    document.version
+                );
+                return false;
+            }
+        }
+    }
+    if let Some(changes) = reply.members {
+        let settled = changes.seen.epoch.1;
+        let mut agents = match changes.whole && settled {
+            true => BTreeMap::new(),
+            false => BTreeMap::clone(&view.agents),
+        };
+        for name in &changes.removed {
+            agents.remove(name);
+        }
+        agents.extend(
+            changes
+                .present
+                .into_iter()
+                .map(|member| (member.name.clone(), member)),
+        );
+        view.agents = Arc::new(agents);
+        view.members_seen = Some(changes.seen);
+    }
+    view.fencing = reply.fencing;
+    view.draining = reply.draining;
+    true
+}
--- /dev/null
+++ b/src/document_types.rs
@@ -0,0 +1,501 @@
+#![allow(clippy::redundant_closure_call)]
+#![allow(clippy::needless_lifetimes)]
+#![allow(clippy::match_single_binding)]
+#![allow(clippy::clone_on_copy)]
+
+#[doc = "What a customer may use, over all entries together."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Contract {
+    #[doc = "Tokens of prompts and answers in progress at one time."]
+    pub concurrent_tokens: ::std::num::NonZeroU64,
+    #[doc = "Requests a second."]
+    pub requests_per_s: ::std::num::NonZeroU64,
+}
+#[doc = "Who sends requests, recognised by an API key."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub contract: ::std::option::Option<Contract>,
+    #[doc = "The SHA-256 of the customer's API key, in hexadecimal."]
+    pub key_sha256: CustomerKeySha256,
+    pub name: Name,
+    pub tier: Name,
+}
+#[doc = "The SHA-256 of the customer's API key, in hexadecimal."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct CustomerKeySha256(::std::string::String);
+impl ::std::ops::Deref for CustomerKeySha256 {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<CustomerKeySha256> for ::std::string::String {
+    fn from(value: CustomerKeySha256) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for CustomerKeySha256 {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
+            ::std::sync::LazyLock::new(|| ::regress::Regex::new("^[0-9a-f]{64}$").unwrap());
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[0-9a-f]{64}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for CustomerKeySha256 {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for CustomerKeySha256 {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for CustomerKeySha256 {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "The one document that changes what guavacove does."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    #[doc = "Who may send requests."]
+    pub customers: ::std::vec::Vec<Customer>,
+    #[doc = "The version of this format."]
+    pub format: ::std::num::NonZeroU64,
+    #[doc = "Which requests are idempotent, and which tier they have. The first rule that matches decides."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub rules: ::std::vec::Vec<Rule>,
+    #[doc = "The services that requests are routed to."]
+    pub services: ::std::vec::Vec<Service>,
+    #[doc = "The tiers; no two have the same rank."]
+    pub tiers: ::std::vec::Vec<Tier>,
+}
+#[doc = "Whether running a request twice is harmless."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum Idempotency {
+    #[serde(rename = "idempotent")]
+    Idempotent,
+    #[serde(rename = "non-idempotent")]
+    NonIdempotent,
+}
+impl ::std::fmt::Display for Idempotency {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Idempotent => f.write_str("idempotent"),
+            Self::NonIdempotent => f.write_str("non-idempotent"),
+        }
+    }
+}
+impl ::std::str::FromStr for Idempotency {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "idempotent" => Ok(Self::Idempotent),
+            "non-idempotent" => Ok(Self::NonIdempotent),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Idempotency {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Idempotency {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+#[doc = "A name: lower-case letters, digits and hyphens, 63 at most."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct Name(::std::string::String);
+impl ::std::ops::Deref for Name {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<Name> for ::std::string::String {
+    fn from(value: Name) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for Name {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
+            ::std::sync::LazyLock::new(|| {
+                ::regress::Regex::new("^[a-z0-9][a-z0-9-]{0,62}$").unwrap()
+            });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Name {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Name {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for Name {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "Says of some requests whether they are idempotent and which tier they have."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Rule {
+    #[doc = "The customers that it is for; none means all."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub customers: ::std::vec::Vec<Name>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub idempotency: ::std::option::Option<Idempotency>,
+    #[doc = "The HTTP methods that it is for; none means all."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub methods: ::std::vec::Vec<RuleMethodsItem>,
+    #[doc = "The start of the paths that it is for."]
+    #[serde(default = "defaults::rule_path_prefix")]
+    pub path_prefix: RulePathPrefix,
+    #[doc = "Repeats an idempotent request whose fate is unknown."]
+    #[serde(default)]
+    pub repeat_when_unknown: bool,
+    pub service: Name,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub tier: ::std::option::Option<Name>,
+}
+#[doc = "`RuleMethodsItem`"]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct RuleMethodsItem(::std::string::String);
+impl ::std::ops::Deref for RuleMethodsItem {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<RuleMethodsItem> for ::std::string::String {
+    fn from(value: RuleMethodsItem) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for RuleMethodsItem {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
+            ::std::sync::LazyLock::new(|| ::regress::Regex::new("^[A-Z]{1,16}$").unwrap());
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[A-Z]{1,16}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RuleMethodsItem {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RuleMethodsItem {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for RuleMethodsItem {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "The start of the paths that it is for."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct RulePathPrefix(::std::string::String);
+impl ::std::ops::Deref for RulePathPrefix {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<RulePathPrefix> for ::std::string::String {
+    fn from(value: RulePathPrefix) -> Self {
+        value.0
+    }
+}
+impl ::std::default::Default for RulePathPrefix {
+    fn default() -> Self {
+        RulePathPrefix("/".to_string())
+    }
+}
+impl ::std::str::FromStr for RulePathPrefix {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
+            ::std::sync::LazyLock::new(|| ::regress::Regex::new("^/").unwrap());
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^/\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RulePathPrefix {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RulePathPrefix {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for RulePathPrefix {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "A set of targets that do the same work."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    pub kind: ServiceKind,
+    #[doc = "The tokens assumed for an answer that names no limit."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 512>")]
+    pub max_tokens: ::std::num::NonZeroU64,
+    #[doc = "The model names that choose this service."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub models: ::std::vec::Vec<ServiceModelsItem>,
+    pub name: Name,
+    #[doc = "How many requests may wait at one target."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 64>")]
+    pub queue_requests: ::std::num::NonZeroU64,
+    #[doc = "Refuses non-idempotent requests without an Idempotency-Key."]
+    #[serde(default)]
+    pub require_key: bool,
+}
+#[doc = "A model engine that streams tokens, or a plain HTTP service."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum ServiceKind {
+    #[serde(rename = "model")]
+    Model,
+    #[serde(rename = "plain")]
+    Plain,
+}
+impl ::std::fmt::Display for ServiceKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Model => f.write_str("model"),
+            Self::Plain => f.write_str("plain"),
+        }
+    }
+}
+impl ::std::str::FromStr for ServiceKind {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "model" => Ok(Self::Model),
+            "plain" => Ok(Self::Plain),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ServiceKind {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ServiceKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+#[doc = "`ServiceModelsItem`"]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ServiceModelsItem(::std::string::String);
+impl ::std::ops::Deref for ServiceModelsItem {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ServiceModelsItem> for ::std::string::String {
+    fn from(value: ServiceModelsItem) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ServiceModelsItem {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 200usize {
+            return Err("longer than 200 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ServiceModelsItem {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ServiceModelsItem {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ServiceModelsItem {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "A class of requests that are shed together."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Tier {
+    #[doc = "How long a request may take until its answer is whole, in milliseconds."]
+    pub deadline_ms: i64,
+    pub name: Name,
+    #[doc = "0 is the highest tier and is shed last."]
+    pub rank: i64,
+}
+#[doc = " Generation of default values for serde."]
+pub mod defaults {
+    pub(super) fn default_nzu64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<::std::num::NonZeroU64>,
+        <T as ::std::convert::TryFrom<::std::num::NonZeroU64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(::std::num::NonZeroU64::try_from(V).unwrap()).unwrap()
+    }
+    pub(super) fn rule_path_prefix() -> super::RulePathPrefix {
+        super::RulePathPrefix("/".to_string())
+    }
+}
+#[doc = " Error types."]
+pub mod error {
+    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,13 @@
+//! The entry: takes callers' requests, finds each a place at an agent, and
+//! passes the answer back.
+
+mod agent_links;
+mod body;
+mod claims;
+mod refusal;
+mod request;
+pub mod routing;
+mod scheduler;
+mod server;
+
+pub use self::server::{Entry, EntryStartError};
--- /dev/null
+++ b/src/entry/server.rs
@@ -0,0 +1,222 @@
+//! A running entry.
+
+use super::{
+    agent_links::AgentLinks,
+    body::AnswerBody,
+    refusal::Refusal,
+    request::{self, Inbound},
+    scheduler::Scheduler,
+};
+use crate::{
+    control::{
+        ControlClient,
+        members::{Member, ProcessRole},
+    },
+    control_view::ControlView,
+    settings::EntrySettings,
+    telemetry,
+    units::*,
+    verdict::Reason,
+};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use std::{
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
+use tracing::Instrument;
+
+/// Why an entry cannot start.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("cannot listen at {address}: {error}")]
+pub struct EntryStartError {
+    /// The address.
+    pub address: SocketAddr,
+    /// What the operating system says.
+    pub error: io::Error,
+}
+
+struct Shared {
+    view: Arc<ControlView>,
+    scheduler: Arc<Scheduler>,
+    stopping: AtomicBool,
+}
+
+/// A running entry.
+pub struct Entry {
+    shared: Arc<Shared>,
+    name: ProcessName,
+    address: SocketAddr,
+    balancer_delay: Duration,
+    stop_accepting: oneshot::Sender<()>,
+    accepting: JoinHandle<()>,
+}
+
+impl Entry {
+    /// Binds the address and starts.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub async fn bind(settings: &EntrySettings) -> Result<Self, EntryStartError> {
+        let failed = |error| EntryStartError {
+            address: settings.listen,
+            error,
+        };
+        let listener = TcpListener::bind(settings.listen).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let incarnation = Incarnation::random();
+        let member = Member {
+            name: settings.name.clone(),
+            role: ProcessRole::Entry,
+            failure_domain: settings.failure_domain.clone(),
+            incarnation,
+            address: address.to_string(),
+            target: None,
+        };
+        let client = Arc::new(ControlClient::new(settings.control.clone()));
+        let view = Arc::new(ControlView::spawn(Arc::clone(&client), member));
+        let links = Arc::new(AgentLinks::new(settings.name.clone(), incarnation));
+        let scheduler = Arc::new(Scheduler::new(Arc::clone(&view), links, client));
+        let stopping = AtomicBool::new(false);
+        let shared = Arc::new(Shared {
+            view,
+            scheduler,
+            stopping,
+        });
+        let (stop_accepting, stopped) = oneshot::channel();
+        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared), stopped));
+        tracing::info!("entry: {} listens at {address}", settings.name);
+        let balancer_delay = Duration::from_millis(settings.balancer_delay_ms);
+        let name = settings.name.clone();
+        Ok(Self {
+            shared,
+            name,
+            address,
+            balancer_delay,
+            stop_accepting,
+            accepting,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Turns unready, stays open for the balancer, then finishes every request.
+    pub async fn shutdown(self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        tokio::time::sleep(self.balancer_delay).await;
+        let _ = self.stop_accepting.send(());
+        let _ = self.accepting.await;
+        let background = &self.shared.scheduler.background;
+        background.close();
+        background.wait().await;
+        self.shared.view.goodbye().await;
+        tracing::info!("entry: {} stopped", self.name);
+    }
+}
+
+/// Serves connections until told to stop, then finishes those that are open.
+async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: oneshot::Receiver<()>) {
+    let graceful = GracefulShutdown::new();
+    let builder = auto::Builder::new(TokioExecutor::new());
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    tracing::warn!("entry: cannot accept: {error}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            },
+            _ = &mut stopped => break,
+        };
+        let _ = stream.set_nodelay(true);
+        let shared = Arc::clone(&shared);
+        let service = service_fn(move |request| {
+            let shared = Arc::clone(&shared);
+            async move { Ok::<_, Infallible>(shared.answer(request).await) }
+        });
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        tokio::spawn(graceful.watch(connection));
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+impl Shared {
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/healthz") => plain(StatusCode::OK, "ok\n"),
+            (&Method::GET, "/readyz") => self.readiness(),
+            (&Method::GET, "/v1/models") => self.models(request),
+            _ => self.schedule(request).await,
+        }
+    }
+
+    fn readiness(&self) -> Response<AnswerBody> {
+        match (
+            self.stopping.load(Ordering::Relaxed),
+            self.view.load().holds(),
+        ) {
+            (true, _) => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+            (false, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no document in force\n"),
+            (false, true) => plain(StatusCode::OK, "ready\n"),
+        }
+    }
+
+    fn models(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let view = self.view.load();
+        let (parts, _) = request.into_parts();
+        if let Err(refusal) = request::authenticate(&parts, &view) {
+            return refusal.into_response(RequestId::random());
+        }
+        let model = |id: &str| serde_json::json!({"id": id, "object": "model"});
+        let data: Vec<serde_json::Value> = view.policy.models().into_iter().map(model).collect();
+        let list = serde_json::json!({"object": "list", "data": data}).to_string();
+        let mut response = Response::new(AnswerBody::whole(list));
+        let json = hyper::header::HeaderValue::from_static("application/json");
+        response.headers_mut().insert("content-type", json);
+        response
+    }
+
+    async fn schedule(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let id = RequestId::random();
+        let view = self.view.load();
+        if !view.holds() {
+            let message = "this entry has lost touch with the control group";
+            let refusal = Refusal::not_run(Reason::CutOff, message).retry_after(1000);
+            return refusal.into_response(id);
+        }
+        let span = tracing::info_span!("entry.request", request = %id);
+        let traceparent = request.headers().get(telemetry::TRACEPARENT);
+        telemetry::continue_trace(&span, traceparent.and_then(|value| value.to_str().ok()));
+        let served = async {
+            match Inbound::read(id, request, &view).await {
+                Ok(inbound) => self.scheduler.serve(inbound).await,
+                Err(refusal) => refusal.into_response(id),
+            }
+        };
+        served.instrument(span).await
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! guavacove: a request scheduler for unlike engines.
+
+mod derives;
+
+pub mod agent;
+pub mod arguments;
+pub mod commands;
+pub mod consensus;
+pub mod control;
+pub mod control_view;
+pub mod dev;
+pub mod document;
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod document_types;
+pub mod entry;
+pub mod link;
+pub mod settings;
+pub mod signals;
+pub mod standin;
+pub mod telemetry;
+pub mod threads;
+pub mod units;
+pub mod verdict;
+pub mod wire;
--- /dev/null
+++ b/src/standin/announcer.rs
@@ -0,0 +1,53 @@
+//! Announces a stand-in to its agent, and renews.
+
+use crate::agent::Announcement;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{net::TcpStream, sync::watch, time::timeout};
+
+/// How often an announcement is renewed.
+const RENEWAL_MS: u64 = 500;
+
+/// Keeps a target announced until it is dropped.
+pub struct Announcer(watch::Sender<Announcement>);
+
+impl Announcer {
+    /// Starts to announce a target to the agent at `agent`.
+    pub fn spawn(agent: SocketAddr, announcement: Announcement) -> Self {
+        let (sender, mut receiver) = watch::channel(announcement);
+        tokio::spawn(async move {
+            loop {
+                let body = serde_json::to_string(&*receiver.borrow_and_update());
+                let limit = Duration::from_millis(RENEWAL_MS);
+                let _ = timeout(limit, put(agent, body.unwrap_or_default())).await;
+                if let Ok(Err(_)) = timeout(limit, receiver.changed()).await {
+                    return;
+                }
+            }
+        });
+        Self(sender)
+    }
+
+    /// Says that the target wants no new work.
+    pub fn leave(&self) {
+        self.0
+            .send_modify(|announcement| announcement.leaving = true);
+    }
+}
+
+async fn put(
+    agent: SocketAddr,
+    body: String,
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    let stream = TcpStream::connect(agent).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let request = Request::put("/target")
+        .header("host", agent.to_string())
+        .body(Full::new(Bytes::from(body)))?;
+    sender.send_request(request).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/standin/engine.rs
@@ -0,0 +1,507 @@
+//! A stand-in model engine: continuous batching with a prefill and a decode
+//! rate, token memory, a prefix cache, and streams that can be cancelled and
+//! resumed. It lets requests in as they arrive and knows no priorities.
+
+use super::{Announcer, PrefixCache, json};
+use crate::{
+    agent::{Announcement, REQUEST_ID},
+    units::*,
+};
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::{
+    collections::HashMap,
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use tokio::{net::TcpListener, sync::Notify};
+
+/// How often decoded tokens are emitted at the most.
+const EMIT_INTERVAL_MS: u64 = 2;
+/// How long a finished stream can be resumed.
+const KEPT_STREAM_MS: u64 = 15_000;
+
+/// What a stand-in engine is like.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its agent's announcement address; none announces nothing.
+    pub announce: Option<SocketAddr>,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Prompt tokens computed a second, one prompt at a time.
+    pub prefill_tokens_per_s: u64,
+    /// Tokens generated a second for each request alone.
+    pub decode_tokens_per_s: u64,
+    /// Requests beyond which decoding slows down in proportion.
+    pub full_speed_requests: usize,
+    /// Requests in the batch; more wait inside the engine.
+    pub slots: usize,
+    /// Tokens held at one time.
+    pub kv_tokens: TokenCount,
+    /// Prompt tokens kept in the prefix cache.
+    pub cache_tokens: TokenCount,
+}
+
+impl EngineSettings {
+    /// An engine of ordinary speed.
+    pub fn new(listen: SocketAddr, service: ServiceName) -> Self {
+        Self {
+            listen,
+            announce: None,
+            service,
+            prefill_tokens_per_s: 20_000,
+            decode_tokens_per_s: 200,
+            full_speed_requests: 8,
+            slots: 16,
+            kv_tokens: TokenCount(32_768),
+            cache_tokens: TokenCount(65_536),
+        }
+    }
+}
+
+/// The text of one token, a function of request and position, so that a reader
+/// can tell its own answer from any other.
+pub fn token_text(request: &str, position: u64) -> String {
+    let head = request.get(..8).unwrap_or(request);
+    format!(" {head}.{position}")
+}
+
+#[derive(Default)]
+struct StreamState {
+    bytes: Vec<u8>,
+    done: bool,
+    cancelled: bool,
+}
+
+#[derive(Default)]
+struct EngineStream {
+    state: Mutex<StreamState>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct Counters {
+    prompt_tokens: AtomicU64,
+    computed_tokens: AtomicU64,
+    cached_tokens: AtomicU64,
+    cancelled_prompt_tokens: AtomicU64,
+    generated_tokens: AtomicU64,
+    completed: AtomicU64,
+    cancelled: AtomicU64,
+}
+
+struct Shared {
+    settings: EngineSettings,
+    streams: Mutex<HashMap<String, Arc<EngineStream>>>,
+    runs: Mutex<HashMap<String, u64>>,
+    cache: Mutex<PrefixCache>,
+    prefill: tokio::sync::Mutex<()>,
+    slots: tokio::sync::Semaphore,
+    decoding: AtomicU64,
+    slowdown_percent: AtomicU64,
+    counters: Counters,
+}
+
+/// A running stand-in engine.
+pub struct Engine {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    announcer: Option<Announcer>,
+}
+
+type EngineBody = Either<Full<Bytes>, EngineStreamBody>;
+type EngineStreamBody =
+    StreamBody<futures::stream::BoxStream<'static, Result<Frame<Bytes>, io::Error>>>;
+
+struct Prompt {
+    id: String,
+    prompt: Vec<u8>,
+    prompt_tokens: u64,
+    max_tokens: u64,
+    is_stream: bool,
+    is_chat: bool,
+}
+
+impl Engine {
+    /// Binds the address, announces itself and starts.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub async fn bind(settings: EngineSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let address = listener.local_addr()?;
+        let announcer = settings.announce.map(|agent| {
+            let announcement = Announcement {
+                service: settings.service.clone(),
+                address,
+                slots: settings.slots,
+                kv_tokens: settings.kv_tokens,
+                is_engine: true,
+                checks_fencing: false,
+                leaving: false,
+            };
+            Announcer::spawn(agent, announcement)
+        });
+        let shared = Arc::new(Shared {
+            streams: Mutex::default(),
+            runs: Mutex::default(),
+            cache: Mutex::new(PrefixCache::new(settings.cache_tokens)),
+            prefill: tokio::sync::Mutex::new(()),
+            slots: tokio::sync::Semaphore::new(settings.slots),
+            decoding: AtomicU64::new(0),
+            slowdown_percent: AtomicU64::new(100),
+            counters: Counters::default(),
+            settings,
+        });
+        tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Ok(Self {
+            shared,
+            address,
+            announcer,
+        })
+    }
+
+    /// Where it takes requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Leaves, and waits until nothing runs.
+    pub async fn shutdown(self) {
+        if let Some(announcer) = &self.announcer {
+            announcer.leave();
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        while self.shared.slots.available_permits() < self.shared.settings.slots {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let shared = Arc::clone(&shared);
+        let service = service_fn(move |request| {
+            let shared = Arc::clone(&shared);
+            async move { Ok::<_, Infallible>(shared.answer(request).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(connection);
+    }
+}
+
+impl Shared {
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<EngineBody> {
+        let path = request.uri().path().to_string();
+        let stream_id = path.strip_prefix("/v1/requests/").map(String::from);
+        match (request.method().clone(), path.as_str(), stream_id) {
+            (Method::POST, "/v1/chat/completions" | "/v1/completions", _) => {
+                self.complete(request).await
+            }
+            (Method::GET, _, Some(id)) => self.resume(&id, request.uri().query()),
+            (Method::DELETE, _, Some(id)) => self.cancel(&id).map(Either::Left),
+            (Method::GET, "/stats", _) => json(StatusCode::OK, &self.stats()).map(Either::Left),
+            (Method::GET, "/runs", _) => {
+                let runs = self.runs.lock().expect("no holder panics").clone();
+                json(StatusCode::OK, &json!(runs)).map(Either::Left)
+            }
+            (Method::PUT, "/slowdown", _) => {
+                let percent = request.uri().query().and_then(|query| query.parse().ok());
+                self.slowdown_percent
+                    .store(percent.unwrap_or(100), Ordering::Relaxed);
+                json(StatusCode::OK, &json!({})).map(Either::Left)
+            }
+            _ => json(StatusCode::NOT_FOUND, &json!({"error": "no such path"})).map(Either::Left),
+        }
+    }
+
+    fn stats(&self) -> Value {
+        let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        json!({
+            "prompt_tokens": count(&self.counters.prompt_tokens),
+            "computed_tokens": count(&self.counters.computed_tokens),
+            "cached_tokens": count(&self.counters.cached_tokens),
+            "cancelled_prompt_tokens": count(&self.counters.cancelled_prompt_tokens),
+            "generated_tokens": count(&self.counters.generated_tokens),
+            "completed": count(&self.counters.completed),
+            "cancelled": count(&self.counters.cancelled),
+        })
+    }
+
+    async fn complete(self: &Arc<Self>, request: Request<Incoming>) -> Response<EngineBody> {
+        let is_chat = request.uri().path().ends_with("/chat/completions");
+        let header = request
+            .headers()
+            .get(REQUEST_ID)
+            .and_then(|value| value.to_str().ok());
+        let id = header.map_or_else(|| RequestId::random().to_string(), String::from);
+        let body = request
+            .into_body()
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes);
+        let parsed = body
+            .ok()
+            .and_then(|body| serde_json::from_slice::<Value>(&body).ok());
+        let Some(parsed) = parsed else {
+            let error = json!({"error": "the body is not JSON"});
+            return json(StatusCode::BAD_REQUEST, &error).map(Either::Left);
+        };
+        *self
+            .runs
+            .lock()
+            .expect("no holder panics")
+            .entry(id.clone())
+            .or_default() += 1;
+        let text = match is_chat {
+            true => parsed["messages"]
+                .as_array()
+                .map_or(String::new(), |messages| {
+                    messages
+                        .iter()
+                        .filter_map(|message| message["content"].as_str())
+                        .collect()
+                }),
+            false => parsed["prompt"].as_str().unwrap_or_default().to_string(),
+        };
+        let prompt = Prompt {
+            prompt_tokens: text.len() as u64 / 4 + 1,
+            prompt: text.into_bytes(),
+            max_tokens: parsed["max_tokens"].as_u64().unwrap_or(16),
+            is_stream: parsed["stream"].as_bool().unwrap_or(false),
+            is_chat,
+            id,
+        };
+        let stream = Arc::new(EngineStream::default());
+        let streams = &self.streams;
+        streams
+            .lock()
+            .expect("no holder panics")
+            .insert(prompt.id.clone(), Arc::clone(&stream));
+        let (shared, produced) = (Arc::clone(self), Arc::clone(&stream));
+        let is_stream = prompt.is_stream;
+        tokio::spawn(async move {
+            let id = prompt.id.clone();
+            shared.produce(prompt, produced).await;
+            tokio::time::sleep(Duration::from_millis(KEPT_STREAM_MS)).await;
+            shared.streams.lock().expect("no holder panics").remove(&id);
+        });
+        match is_stream {
+            true => follow(stream, 0),
+            false => {
+                let bytes = stream.whole().await;
+                let mut response = Response::new(Either::Left(Full::new(Bytes::from(bytes))));
+                let json = hyper::header::HeaderValue::from_static("application/json");
+                response.headers_mut().insert("content-type", json);
+                response
+            }
+        }
+    }
+
+    /// Prefills, then decodes into the stream.
+    async fn produce(&self, prompt: Prompt, stream: Arc<EngineStream>) {
+        let _slot = self.slots.acquire().await;
+        let counters = &self.counters;
+        let cached = self
+            .cache
+            .lock()
+            .expect("no holder panics")
+            .take(&prompt.prompt)
+            .0;
+        let computed = prompt.prompt_tokens.saturating_sub(cached);
+        counters
+            .prompt_tokens
+            .fetch_add(prompt.prompt_tokens, Ordering::Relaxed);
+        counters
+            .cached_tokens
+            .fetch_add(prompt.prompt_tokens - computed, Ordering::Relaxed);
+        {
+            let _prefill = self.prefill.lock().await;
+            let micros = computed * 1_000_000 / self.settings.prefill_tokens_per_s.max(1);
+            tokio::time::sleep(self.slowed(Duration::from_micros(micros))).await;
+        }
+        counters
+            .computed_tokens
+            .fetch_add(computed, Ordering::Relaxed);
+        self.decoding.fetch_add(1, Ordering::Relaxed);
+        let finished = self.decode(&prompt, &stream).await;
+        self.decoding.fetch_sub(1, Ordering::Relaxed);
+        if finished {
+            counters.completed.fetch_add(1, Ordering::Relaxed);
+        } else {
+            counters.cancelled.fetch_add(1, Ordering::Relaxed);
+            counters
+                .cancelled_prompt_tokens
+                .fetch_add(computed, Ordering::Relaxed);
+        }
+    }
+
+    fn slowed(&self, duration: Duration) -> Duration {
+        duration * self.slowdown_percent.load(Ordering::Relaxed) as u32 / 100
+    }
+
+    async fn decode(&self, prompt: &Prompt, stream: &EngineStream) -> bool {
+        let mut position = 0;
+        let mut due = 0.0;
+        let mut last = Instant::now();
+        let mut text = String::new();
+        while position < prompt.max_tokens {
+            let crowd = self.decoding.load(Ordering::Relaxed) as f64;
+            let crowding = (crowd / self.settings.full_speed_requests as f64).max(1.0);
+            let slowdown = self.slowdown_percent.load(Ordering::Relaxed) as f64 / 100.0;
+            let per_s = self.settings.decode_tokens_per_s as f64 / crowding / slowdown;
+            let interval_ms = (1000.0 / per_s).max(EMIT_INTERVAL_MS as f64);
+            tokio::time::sleep(Duration::from_secs_f64(interval_ms / 1000.0)).await;
+            due += last.elapsed().as_secs_f64() * per_s;
+            last = Instant::now();
+            let mut chunk = String::new();
+            while due >= 1.0 && position < prompt.max_tokens {
+                let token = token_text(&prompt.id, position);
+                match prompt.is_stream {
+                    true => chunk.push_str(&event(prompt, &token)),
+                    false => text.push_str(&token),
+                }
+                position += 1;
+                due -= 1.0;
+                self.counters
+                    .generated_tokens
+                    .fetch_add(1, Ordering::Relaxed);
+            }
+            if stream.append(chunk.as_bytes()) {
+                return false;
+            }
+        }
+        match prompt.is_stream {
+            true => stream.append(b"data: [DONE]\n\n"),
+            false => stream.append(answer(prompt, &text).as_bytes()),
+        };
+        stream.finish();
+        true
+    }
+
+    fn find(&self, id: &str) -> Option<Arc<EngineStream>> {
+        self.streams
+            .lock()
+            .expect("no holder panics")
+            .get(id)
+            .cloned()
+    }
+
+    fn resume(&self, id: &str, query: Option<&str>) -> Response<EngineBody> {
+        let offset = query.and_then(|query| query.strip_prefix("offset=")?.parse().ok());
+        match self.find(id) {
+            Some(stream) => follow(stream, offset.unwrap_or(0)),
+            None => json(StatusCode::NOT_FOUND, &json!({"error": "unknown id"})).map(Either::Left),
+        }
+    }
+
+    fn cancel(&self, id: &str) -> Response<Full<Bytes>> {
+        match self.find(id) {
+            Some(stream) => {
+                stream.state.lock().expect("no holder panics").cancelled = true;
+                stream.changed.notify_waiters();
+                json(StatusCode::OK, &json!({}))
+            }
+            None => json(StatusCode::NOT_FOUND, &json!({"error": "unknown id"})),
+        }
+    }
+}
+
+fn event(prompt: &Prompt, token: &str) -> String {
+    let choice = match prompt.is_chat {
+        true => json!({"index": 0, "delta": {"content": token}, "finish_reason": null}),
+        false => json!({"index": 0, "text": token, "finish_reason": null}),
+    };
+    format!(
+        "data: {}\n\n",
+        json!({"id": prompt.id, "choices": [choice]})
+    )
+}
+
+fn answer(prompt: &Prompt, text: &str) -> String {
+    let choice = match prompt.is_chat {
+        true => json!({
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": "stop",
+        }),
+        false => json!({"index": 0, "text": text, "finish_reason": "stop"}),
+    };
+    let usage = json!({
+        "prompt_tokens": prompt.prompt_tokens,
+        "completion_tokens": prompt.max_tokens,
+    });
+    json!({"id": prompt.id, "choices": [choice], "usage": usage}).to_string()
+}
+
+impl EngineStream {
+    /// Appends bytes; returns whether the stream is cancelled.
+    fn append(&self, bytes: &[u8]) -> bool {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.bytes.extend_from_slice(bytes);
+        self.changed.notify_waiters();
+        state.cancelled
+    }
+
+    fn finish(&self) {
+        self.state.lock().expect("no holder panics").done = true;
+        self.changed.notify_waiters();
+    }
+
+    /// The bytes after an offset; `None` at the end.
+    async fn after(&self, offset: usize) -> Option<Bytes> {
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.state.lock().expect("no holder panics");
+                if state.bytes.len() > offset {
+                    return Some(Bytes::copy_from_slice(&state.bytes[offset..]));
+                }
+                if state.done || state.cancelled {
+                    return None;
+                }
+            }
+            changed.await;
+        }
+    }
+
+    async fn whole(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        while let Some(more) = self.after(bytes.len()).await {
+            bytes.extend_from_slice(&more);
+        }
+        bytes
+    }
+}
+
+/// A response that follows a stream from an offset on.
+fn follow(stream: Arc<EngineStream>, offset: usize) -> Response<EngineBody> {
+    let frames = stream::unfold((stream, offset), |(stream, offset)| async move {
+        let bytes = stream.after(offset).await?;
+        let offset = offset + bytes.len();
+        Some((Ok(Frame::data(bytes)), (stream, offset)))
+    });
+    let mut response = Response::new(Either::Right(StreamBody::new(frames.boxed())));
+    let events = hyper::header::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert("content-type", events);
+    response
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,26 @@
+//! Stand-in targets for `guavacove dev`, tests and measurements.
+
+mod announcer;
+mod engine;
+mod plain;
+mod prefix_cache;
+
+pub use self::{
+    announcer::Announcer,
+    engine::{Engine, EngineSettings, token_text},
+    plain::{Plain, PlainSettings},
+    prefix_cache::PrefixCache,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+
+/// A short JSON response.
+fn json(status: StatusCode, value: &serde_json::Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(value.to_string().into()));
+    *response.status_mut() = status;
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert("content-type", json);
+    response
+}
--- /dev/null
+++ b/src/standin/plain.rs
@@ -0,0 +1,176 @@
+//! A stand-in plain service with a non-idempotent operation: it counts what it
+//! ran by key.
+
+use super::{Announcer, json};
+use crate::{
+    agent::{Announcement, REQUEST_ID},
+    units::*,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::net::TcpListener;
+
+/// What a stand-in plain service is like.
+#[derive(Clone, Debug)]
+pub struct PlainSettings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its agent's announcement address; none announces nothing.
+    pub announce: Option<SocketAddr>,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// How long one request takes, in milliseconds.
+    pub delay_ms: u64,
+    /// Requests at one time.
+    pub slots: usize,
+}
+
+#[derive(Default)]
+struct Shared {
+    delay_ms: u64,
+    running: AtomicU64,
+    by_key: Mutex<BTreeMap<String, u64>>,
+    by_request: Mutex<BTreeMap<String, u64>>,
+}
+
+/// A running stand-in plain service.
+pub struct Plain {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    announcer: Option<Announcer>,
+}
+
+impl Plain {
+    /// Binds the address, announces itself and starts.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub async fn bind(settings: PlainSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let address = listener.local_addr()?;
+        let announcer = settings.announce.map(|agent| {
+            let announcement = Announcement {
+                service: settings.service.clone(),
+                address,
+                slots: settings.slots,
+                kv_tokens: TokenCount(u64::MAX / 4),
+                is_engine: false,
+                checks_fencing: false,
+                leaving: false,
+            };
+            Announcer::spawn(agent, announcement)
+        });
+        let shared = Arc::new(Shared {
+            delay_ms: settings.delay_ms,
+            ..Shared::default()
+        });
+        tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Ok(Self {
+            shared,
+            address,
+            announcer,
+        })
+    }
+
+    /// Where it takes requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Leaves, and waits until nothing runs.
+    pub async fn shutdown(self) {
+        if let Some(announcer) = &self.announcer {
+            announcer.leave();
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        while self.shared.running.load(Ordering::Relaxed) > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        let service = service_fn(move |request| {
+            let shared = Arc::clone(&shared);
+            async move { Ok::<_, Infallible>(shared.answer(request).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(connection);
+    }
+}
+
+impl Shared {
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        match (request.method().clone(), request.uri().path()) {
+            (Method::GET, "/runs") => {
+                let by_key = self.by_key.lock().expect("no holder panics").clone();
+                let by_request = self.by_request.lock().expect("no holder panics").clone();
+                json(
+                    StatusCode::OK,
+                    &json!({"by_key": by_key, "by_request": by_request}),
+                )
+            }
+            (Method::POST, _) => {
+                let shared = Arc::clone(self);
+                let run = tokio::spawn(async move { shared.run(request).await });
+                run.await
+                    .unwrap_or_else(|_| json(StatusCode::BAD_GATEWAY, &json!({})))
+            }
+            (_, path) => json(StatusCode::OK, &json!({"path": path})),
+        }
+    }
+
+    /// Runs to its end even if the caller has gone, as a filing does.
+    async fn run(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let header = |name: &str| {
+            let value = request
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_string()
+        };
+        let (key, id) = (header("idempotency-key"), header(REQUEST_ID));
+        let path = request.uri().path().to_string();
+        self.running.fetch_add(1, Ordering::Relaxed);
+        *self
+            .by_key
+            .lock()
+            .expect("no holder panics")
+            .entry(key.clone())
+            .or_default() += 1;
+        *self
+            .by_request
+            .lock()
+            .expect("no holder panics")
+            .entry(id.clone())
+            .or_default() += 1;
+        let body = request
+            .into_body()
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes);
+        let crc = crc32fast::hash(&body.unwrap_or_default());
+        tokio::time::sleep(Duration::from_millis(self.delay_ms)).await;
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        let answer = json!({"path": path, "key": key, "request": id, "body_crc": crc});
+        json(StatusCode::CREATED, &answer)
+    }
+}
