Test the whole path with real processes

Cause: the path was only tried by hand. Ruled out: one process with tasks for roles, as kills and freezes need processes. Change: a fluent builder that starts controls, entries, agents and stand-ins, a proxy that can go silent, a caller that checks every byte; four cases. Before: no tests.

--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -41,9 +41,8 @@
 ) -> Result<Response<Incoming>, CallError> {
     let connecting = TcpStream::connect(address);
     let connected = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await;
-    let stream = match connected {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(CallError(Verdict::NotRun)),
+    let Ok(Ok(stream)) = connected else {
+        return Err(CallError(Verdict::NotRun));
     };
     let _ = stream.set_nodelay(true);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -129,7 +129,7 @@
 type EngineStreamBody =
     StreamBody<futures::stream::BoxStream<'static, Result<Frame<Bytes>, io::Error>>>;
 
-struct Prompt {
+struct Job {
     id: String,
     prompt: Vec<u8>,
     prompt_tokens: u64,
@@ -283,7 +283,7 @@
                 }),
             false => parsed["prompt"].as_str().unwrap_or_default().to_string(),
         };
-        let prompt = Prompt {
+        let job = Job {
             prompt_tokens: text.len() as u64 / 4 + 1,
             prompt: text.into_bytes(),
             max_tokens: parsed["max_tokens"].as_u64().unwrap_or(16),
@@ -296,12 +296,12 @@
         streams
             .lock()
             .expect("no holder panics")
-            .insert(prompt.id.clone(), Arc::clone(&stream));
+            .insert(job.id.clone(), Arc::clone(&stream));
         let (shared, produced) = (Arc::clone(self), Arc::clone(&stream));
-        let is_stream = prompt.is_stream;
+        let is_stream = job.is_stream;
         tokio::spawn(async move {
-            let id = prompt.id.clone();
-            shared.produce(prompt, produced).await;
+            let id = job.id.clone();
+            shared.produce(job, produced).await;
             tokio::time::sleep(Duration::from_millis(KEPT_STREAM_MS)).await;
             shared.streams.lock().expect("no holder panics").remove(&id);
         });
@@ -318,22 +318,22 @@
     }
 
     /// Prefills, then decodes into the stream.
-    async fn produce(&self, prompt: Prompt, stream: Arc<EngineStream>) {
+    async fn produce(&self, job: Job, stream: Arc<EngineStream>) {
         let _slot = self.slots.acquire().await;
         let counters = &self.counters;
         let cached = self
             .cache
             .lock()
             .expect("no holder panics")
-            .take(&prompt.prompt)
+            .take(&job.prompt)
             .0;
-        let computed = prompt.prompt_tokens.saturating_sub(cached);
+        let computed = job.prompt_tokens.saturating_sub(cached);
         counters
             .prompt_tokens
-            .fetch_add(prompt.prompt_tokens, Ordering::Relaxed);
+            .fetch_add(job.prompt_tokens, Ordering::Relaxed);
         counters
             .cached_tokens
-            .fetch_add(prompt.prompt_tokens - computed, Ordering::Relaxed);
+            .fetch_add(job.prompt_tokens - computed, Ordering::Relaxed);
         {
             let _prefill = self.prefill.lock().await;
             let micros = computed * 1_000_000 / self.settings.prefill_tokens_per_s.max(1);
@@ -343,7 +343,7 @@
             .computed_tokens
             .fetch_add(computed, Ordering::Relaxed);
         self.decoding.fetch_add(1, Ordering::Relaxed);
-        let finished = self.decode(&prompt, &stream).await;
+        let finished = self.decode(&job, &stream).await;
         self.decoding.fetch_sub(1, Ordering::Relaxed);
         if finished {
             counters.completed.fetch_add(1, Ordering::Relaxed);
@@ -359,12 +359,12 @@
         duration * self.slowdown_percent.load(Ordering::Relaxed) as u32 / 100
     }
 
-    async fn decode(&self, prompt: &Prompt, stream: &EngineStream) -> bool {
+    async fn decode(&self, job: &Job, stream: &EngineStream) -> bool {
         let mut position = 0;
         let mut due = 0.0;
         let mut last = Instant::now();
         let mut text = String::new();
-        while position < prompt.max_tokens {
+        while position < job.max_tokens {
             let crowd = self.decoding.load(Ordering::Relaxed) as f64;
             let crowding = (crowd / self.settings.full_speed_requests as f64).max(1.0);
             let slowdown = self.slowdown_percent.load(Ordering::Relaxed) as f64 / 100.0;
@@ -374,10 +374,10 @@
             due += last.elapsed().as_secs_f64() * per_s;
             last = Instant::now();
             let mut chunk = String::new();
-            while due >= 1.0 && position < prompt.max_tokens {
-                let token = token_text(&prompt.id, position);
-                match prompt.is_stream {
-                    true => chunk.push_str(&event(prompt, &token)),
+            while due >= 1.0 && position < job.max_tokens {
+                let token = token_text(&job.id, position);
+                match job.is_stream {
+                    true => chunk.push_str(&event(job, &token)),
                     false => text.push_str(&token),
                 }
                 position += 1;
@@ -390,9 +390,9 @@
                 return false;
             }
         }
-        match prompt.is_stream {
+        match job.is_stream {
             true => stream.append(b"data: [DONE]\n\n"),
-            false => stream.append(answer(prompt, &text).as_bytes()),
+            false => stream.append(answer(job, &text).as_bytes()),
         };
         stream.finish();
         true
@@ -426,19 +426,16 @@
     }
 }
 
-fn event(prompt: &Prompt, token: &str) -> String {
-    let choice = match prompt.is_chat {
+fn event(job: &Job, token: &str) -> String {
+    let choice = match job.is_chat {
         true => json!({"index": 0, "delta": {"content": token}, "finish_reason": null}),
         false => json!({"index": 0, "text": token, "finish_reason": null}),
     };
-    format!(
-        "data: {}\n\n",
-        json!({"id": prompt.id, "choices": [choice]})
-    )
+    format!("data: {}\n\n", json!({"id": job.id, "choices": [choice]}))
 }
 
-fn answer(prompt: &Prompt, text: &str) -> String {
-    let choice = match prompt.is_chat {
+fn answer(job: &Job, text: &str) -> String {
+    let choice = match job.is_chat {
         true => json!({
             "index": 0,
             "message": {"role": "assistant", "content": text},
@@ -447,10 +444,10 @@
         false => json!({"index": 0, "text": text, "finish_reason": "stop"}),
     };
     let usage = json!({
-        "prompt_tokens": prompt.prompt_tokens,
-        "completion_tokens": prompt.max_tokens,
+        "prompt_tokens": job.prompt_tokens,
+        "completion_tokens": job.max_tokens,
     });
-    json!({"id": prompt.id, "choices": [choice], "usage": usage}).to_string()
+    json!({"id": job.id, "choices": [choice], "usage": usage}).to_string()
 }
 
 impl EngineStream {
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,55 @@
+//! A fluent builder of a whole system of real processes, for tests.
+#![allow(dead_code)]
+
+mod caller;
+mod process;
+mod proxy;
+mod system;
+
+pub use self::{
+    caller::{Answer, Caller, fetch},
+    process::{Process, free_address, guavacove},
+    proxy::Proxy,
+    system::{STOP_LIMIT, System, get, get_json},
+};
+
+pub const LEDGERWELL: &str = "ledgerwell-example-key";
+pub const VANDERMEULEN: &str = "vandermeulen-example-key";
+pub const OVERNIGHT: &str = "overnight-example-key";
+
+/// Names each case of a feature and runs it on its own runtime.
+#[macro_export]
+macro_rules! cases {
+    ($($(#[$meta:meta])* $name:ident => $body:expr;)*) => {
+        $(
+            #[test]
+            $(#[$meta])*
+            fn $name() {
+                tokio::runtime::Builder::new_multi_thread()
+                    .worker_threads(4)
+                    .enable_all()
+                    .build()
+                    .unwrap()
+                    .block_on($body);
+            }
+        )*
+    };
+}
+
+/// Polls until a condition holds, or panics after `limit_ms`.
+pub async fn eventually<F: Future<Output = bool>>(
+    what: &str,
+    limit_ms: u64,
+    condition: impl Fn() -> F,
+) {
+    let started = std::time::Instant::now();
+    while !condition().await {
+        let waited = started.elapsed().as_millis() as u64;
+        assert!(waited < limit_ms, "{what}: not within {limit_ms} ms");
+        sleep_ms(20).await;
+    }
+}
+
+pub async fn sleep_ms(duration_ms: u64) {
+    tokio::time::sleep(std::time::Duration::from_millis(duration_ms)).await;
+}
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,144 @@
+//! One real process, and the signals that tests send to it.
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use std::{
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+    time::{Duration, Instant},
+};
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u16 = 20_000;
+
+/// A loopback address below the ephemeral ports that nothing listens at.
+pub fn free_address() -> SocketAddr {
+    let start = (std::process::id() % 97) as u16 * 199;
+    loop {
+        let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (start + offset) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_guavacove"))
+}
+
+/// Runs a command to its end.
+pub fn guavacove(arguments: &[&str]) -> Output {
+    program()
+        .args(arguments)
+        .output()
+        .expect("the program runs")
+}
+
+pub struct Process {
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    pub fn spawn(arguments: Vec<String>, log: PathBuf) -> Self {
+        let child = start(&arguments, &log);
+        Self {
+            arguments,
+            log,
+            child,
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).expect("the process exists");
+    }
+
+    /// SIGKILL, and waits for the end.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// SIGTERM, and waits for the end; returns whether it succeeded.
+    pub fn terminate(&mut self, limit: Duration) -> bool {
+        self.signal(Signal::SIGTERM);
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Some(status) = self
+                .child
+                .try_wait()
+                .expect("the process can be waited for")
+            {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Starts the same command again.
+    pub fn start_again(&mut self) {
+        self.child = start(&self.arguments, &self.log);
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child
+            .try_wait()
+            .expect("the process can be waited for")
+            .is_some()
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// The most memory that it has held, in kilobytes.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+            .unwrap_or(0)
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+fn start(arguments: &[String], log: &PathBuf) -> Child {
+    let log = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(log);
+    program()
+        .args(arguments)
+        .stdout(Stdio::null())
+        .stderr(log.expect("the log can be written"))
+        .spawn()
+        .expect("the program starts")
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/support/system.rs
@@ -0,0 +1,359 @@
+//! Controls, entries, agents and stand-ins as real processes.
+
+use super::*;
+use http_body_util::Full;
+use hyper::Request;
+use serde_json::{Value, json};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+
+pub const DOCUMENT: &str = include_str!("../../examples/document.yaml");
+
+pub struct SystemBuilder {
+    controls: usize,
+    entries: usize,
+    engines: Vec<Vec<String>>,
+    plains: Vec<u64>,
+    document: String,
+    proxied: bool,
+}
+
+pub struct Target {
+    pub name: String,
+    pub agent: Process,
+    pub process: Process,
+    pub address: SocketAddr,
+    /// Between entries and the agent, if the system is proxied.
+    pub link: Option<Proxy>,
+}
+
+pub struct Control {
+    pub process: Process,
+    pub number: usize,
+    pub rpc: SocketAddr,
+    pub data_folder: PathBuf,
+    /// Between others' calls and this instance's RPC.
+    pub rpc_proxy: Option<Proxy>,
+    /// Links of this instance to the others, and of the others to it.
+    pub peer_proxies: Vec<(usize, Proxy)>,
+}
+
+pub struct System {
+    pub controls: Vec<Control>,
+    pub entries: Vec<(Process, SocketAddr)>,
+    pub targets: Vec<Target>,
+    pub folder: tempfile::TempDir,
+    pub control_addresses: Vec<SocketAddr>,
+}
+
+impl System {
+    pub fn builder() -> SystemBuilder {
+        SystemBuilder {
+            controls: 3,
+            entries: 2,
+            engines: Vec::new(),
+            plains: Vec::new(),
+            document: DOCUMENT.into(),
+            proxied: false,
+        }
+    }
+
+    pub fn caller(&self, entry: usize, api_key: &'static str) -> Caller {
+        Caller::new(self.entries[entry].1, api_key)
+    }
+
+    pub fn target(&mut self, name: &str) -> &mut Target {
+        self.targets
+            .iter_mut()
+            .find(|target| target.name == name)
+            .expect("the target exists")
+    }
+
+    /// Runs an operator's command against the control group.
+    pub fn command(&self, arguments: &[&str]) -> std::process::Output {
+        let addresses: Vec<String> = self
+            .control_addresses
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        let mut words = arguments.to_vec();
+        for address in &addresses {
+            words.extend(["--control", address]);
+        }
+        guavacove(&words)
+    }
+
+    pub fn status(&self) -> Value {
+        let output = self.command(&["status", "--json"]);
+        serde_json::from_slice(&output.stdout).unwrap_or(Value::Null)
+    }
+
+    /// The position in `controls` of the leader.
+    pub fn leader(&self) -> usize {
+        let leader = self.status()["leader"].as_str().unwrap_or("0").to_string();
+        let number: usize = leader
+            .split('-')
+            .next()
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0);
+        number.checked_sub(1).expect("a leader is known")
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.folder.path().join(name);
+        std::fs::write(&path, text).expect("the file can be written");
+        path.display().to_string()
+    }
+
+    /// Applies a document and returns the command's output.
+    pub fn apply(&self, yaml: &str, extra: &[&str]) -> std::process::Output {
+        let file = self.write(&format!("document-{}.yaml", rand::random::<u64>()), yaml);
+        let mut words = vec!["apply", file.as_str()];
+        words.extend(extra);
+        self.command(&words)
+    }
+
+    /// What the stand-ins ran: by key, and by request id.
+    pub async fn runs(&self) -> (BTreeMap<String, u64>, BTreeMap<String, u64>) {
+        let (mut by_key, mut by_request) = (BTreeMap::new(), BTreeMap::new());
+        for target in &self.targets {
+            let runs = get_json(target.address, "/runs").await;
+            let plain = runs.get("by_key").is_some();
+            let requests = if plain { &runs["by_request"] } else { &runs };
+            add(&mut by_key, &runs["by_key"]);
+            add(&mut by_request, requests);
+        }
+        (by_key, by_request)
+    }
+
+    /// Waits until every entry is ready and every target is known.
+    pub async fn wait_ready(&self) {
+        for (_, entry) in &self.entries {
+            eventually("the entry is ready", 15_000, || async {
+                get(*entry, "/readyz").await.status == 200
+            })
+            .await;
+        }
+        let targets = self.targets.len();
+        eventually("every target is a member", 15_000, || async {
+            let status = self.status();
+            let processes = status["processes"].as_array().cloned().unwrap_or_default();
+            let known = processes
+                .iter()
+                .filter(|process| !process[0]["target"].is_null());
+            known.count() == targets
+        })
+        .await;
+        sleep_ms(200).await;
+    }
+
+    /// Cuts one control instance off from everything, or mends that.
+    pub fn cut_control(&self, position: usize, cut: bool) {
+        let number = self.controls[position].number;
+        let proxies = self.controls.iter().flat_map(|control| {
+            let touching = control.peer_proxies.iter();
+            touching.filter(move |(to, _)| control.number == number || *to == number)
+        });
+        let rpc = self.controls[position].rpc_proxy.iter();
+        for proxy in proxies.map(|(_, proxy)| proxy).chain(rpc) {
+            if cut { proxy.cut() } else { proxy.mend() }
+        }
+    }
+}
+
+fn add(counts: &mut BTreeMap<String, u64>, more: &Value) {
+    for (name, count) in more.as_object().into_iter().flatten() {
+        *counts.entry(name.clone()).or_default() += count.as_u64().unwrap_or(0);
+    }
+}
+
+pub async fn get(address: SocketAddr, path: &str) -> Answer {
+    let request = Request::get(path)
+        .header("host", "test")
+        .body(Full::default())
+        .unwrap();
+    fetch(address, request).await
+}
+
+pub async fn get_json(address: SocketAddr, path: &str) -> Value {
+    get(address, path).await.json()
+}
+
+impl SystemBuilder {
+    pub fn controls(self, controls: usize) -> Self {
+        Self { controls, ..self }
+    }
+
+    pub fn entries(self, entries: usize) -> Self {
+        Self { entries, ..self }
+    }
+
+    /// Adds an engine; `options` are those of `stand-in-engine`.
+    pub fn engine(mut self, options: &[&str]) -> Self {
+        self.engines
+            .push(options.iter().map(ToString::to_string).collect());
+        self
+    }
+
+    /// Adds a plain service whose requests take this long.
+    pub fn plain(mut self, delay_ms: u64) -> Self {
+        self.plains.push(delay_ms);
+        self
+    }
+
+    pub fn document(self, document: &str) -> Self {
+        Self {
+            document: document.into(),
+            ..self
+        }
+    }
+
+    /// Puts a proxy on every link between processes.
+    pub fn proxied(self) -> Self {
+        Self {
+            proxied: true,
+            ..self
+        }
+    }
+
+    pub async fn start(self) -> System {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut system = System {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            targets: Vec::new(),
+            folder,
+            control_addresses: Vec::new(),
+        };
+        self.start_controls(&mut system).await;
+        for position in 0..self.entries {
+            self.start_entry(&mut system, position);
+        }
+        for (position, options) in self.engines.iter().enumerate() {
+            let name = format!("engine-{}", position + 1);
+            self.start_target(&mut system, name, "stand-in-engine", options)
+                .await;
+        }
+        for (position, delay_ms) in self.plains.iter().enumerate() {
+            let options = ["--delay-ms".to_string(), delay_ms.to_string()];
+            let name = format!("filings-{}", position + 1);
+            self.start_target(&mut system, name, "stand-in-plain", &options)
+                .await;
+        }
+        if !self.document.is_empty() {
+            let output = system.apply(&self.document, &["--expected", "0"]);
+            assert!(
+                output.status.success(),
+                "{}",
+                String::from_utf8_lossy(&output.stderr)
+            );
+            system.wait_ready().await;
+        }
+        system
+    }
+
+    async fn start_controls(&self, system: &mut System) {
+        let peers: Vec<(SocketAddr, SocketAddr)> = (0..self.controls)
+            .map(|_| (free_address(), free_address()))
+            .collect();
+        for (position, (_, rpc)) in peers.iter().enumerate() {
+            let number = position + 1;
+            let mut listed = Vec::new();
+            let mut peer_proxies = Vec::new();
+            for (other, (peer, rpc)) in peers.iter().enumerate() {
+                let mut peer_address = *peer;
+                if self.proxied && other != position {
+                    let proxy = Proxy::spawn(*peer).await;
+                    peer_address = proxy.address;
+                    peer_proxies.push((other + 1, proxy));
+                }
+                listed.push(json!({"number": other + 1, "peer": peer_address, "rpc": rpc}));
+            }
+            let data_folder = system.folder.path().join(format!("data-{number}"));
+            let settings = json!({
+                "number": number,
+                "failure_domain": failure_domain(position),
+                "data_folder": data_folder,
+                "peers": listed,
+            });
+            let rpc_proxy = match self.proxied {
+                true => Some(Proxy::spawn(*rpc).await),
+                false => None,
+            };
+            let address = rpc_proxy.as_ref().map_or(*rpc, |proxy| proxy.address);
+            system.control_addresses.push(address);
+            let process = spawn(system, "control", &format!("control-{number}"), &settings);
+            let rpc = *rpc;
+            system.controls.push(Control {
+                process,
+                number,
+                rpc,
+                data_folder,
+                rpc_proxy,
+                peer_proxies,
+            });
+        }
+    }
+
+    fn start_entry(&self, system: &mut System, position: usize) {
+        let name = format!("entry-{}", position + 1);
+        let listen = free_address();
+        let settings = json!({
+            "name": name,
+            "failure_domain": failure_domain(position),
+            "listen": listen,
+            "control": system.control_addresses,
+            "balancer_delay_ms": 300,
+        });
+        let process = spawn(system, "entry", &name, &settings);
+        system.entries.push((process, listen));
+    }
+
+    async fn start_target(
+        &self,
+        system: &mut System,
+        name: String,
+        command: &str,
+        options: &[String],
+    ) {
+        let (listen, announce, address) = (free_address(), free_address(), free_address());
+        let link = match self.proxied {
+            true => Some(Proxy::spawn(listen).await),
+            false => None,
+        };
+        let settings = json!({
+            "name": name,
+            "failure_domain": "a",
+            "listen": listen,
+            "advertise": link.as_ref().map(|proxy| proxy.address),
+            "announce": announce,
+            "control": system.control_addresses,
+        });
+        let agent = spawn(system, "agent", &name, &settings);
+        let mut words = vec![command.to_string()];
+        words.extend(["--listen".into(), address.to_string()]);
+        words.extend(["--announce".into(), announce.to_string()]);
+        words.extend(options.iter().cloned());
+        let log = system.folder.path().join(format!("{name}.target.log"));
+        let process = Process::spawn(words, log);
+        system.targets.push(Target {
+            name,
+            agent,
+            process,
+            address,
+            link,
+        });
+    }
+}
+
+fn spawn(system: &System, command: &str, name: &str, settings: &Value) -> Process {
+    let file = system.write(&format!("{name}.yaml"), &settings.to_string());
+    let log = system.folder.path().join(format!("{name}.log"));
+    Process::spawn(vec![command.into(), "--settings".into(), file], log)
+}
+
+/// How long a graceful stop may take in tests.
+pub const STOP_LIMIT: Duration = Duration::from_secs(30);
+
+fn failure_domain(position: usize) -> &'static str {
+    ["a", "b", "c"][position % 3]
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,122 @@
+//! The whole path, over separate processes.
+
+mod support;
+
+use support::*;
+
+async fn two_entries() -> System {
+    let fast = ["--slots", "256", "--kv-tokens", "1000000"];
+    System::builder()
+        .engine(&fast)
+        .engine(&fast)
+        .engine(&fast)
+        .plain(5)
+        .start()
+        .await
+}
+
+async fn either_entry_serves_streams_and_filings() {
+    let system = two_entries().await;
+    for entry in 0..2 {
+        let caller = system.caller(entry, LEDGERWELL);
+        let stream = caller
+            .complete("Draft a statement of affairs.", 30, true)
+            .await;
+        assert!(stream.is_whole_stream(30), "{stream:?}");
+        assert_eq!(stream.verdict(), "ran");
+        let plain = caller.complete("Summarise the letter.", 10, false).await;
+        let last = guavacove::standin::token_text(plain.id(), 9);
+        assert!(
+            plain.json()["choices"][0]["text"]
+                .as_str()
+                .unwrap()
+                .ends_with(&last)
+        );
+        let key = format!("notice-{entry}");
+        let filed = caller.file(&key).await;
+        assert_eq!((filed.status, filed.verdict()), (201, "ran"), "{filed:?}");
+        let again = system.caller(1 - entry, LEDGERWELL).file(&key).await;
+        assert_eq!(again.body, filed.body);
+    }
+    let (by_key, _) = system.runs().await;
+    assert!(by_key.values().all(|count| *count == 1), "{by_key:?}");
+}
+
+async fn a_document_is_in_force_everywhere() {
+    let system = two_entries().await;
+    let changed = support_document("queue_requests: 64", "queue_requests: 65");
+    let output = system.apply(&changed, &["--wait"]);
+    assert!(output.status.success(), "{output:?}");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(text.contains("in force in all 6 processes"), "{text}");
+}
+
+fn support_document(from: &str, to: &str) -> String {
+    include_str!("../examples/document.yaml").replace(from, to)
+}
+
+async fn three_hundred_streams_keep_their_bytes() {
+    let system = two_entries().await;
+    let streams = (0..300).map(|number| {
+        let caller = system.caller(number % 2, VANDERMEULEN);
+        tokio::spawn(async move {
+            let prompt = format!("Question {number}: {}", "when? ".repeat(number % 40));
+            let tokens = 20 + number as u64 % 30;
+            (tokens, caller.complete(&prompt, tokens, true).await)
+        })
+    });
+    let streams: Vec<_> = streams.collect();
+    let mut ids = std::collections::BTreeSet::new();
+    for stream in streams {
+        let (tokens, answer) = stream.await.unwrap();
+        assert!(answer.is_whole_stream(tokens), "{answer:?}");
+        assert!(ids.insert(answer.id().to_string()));
+    }
+    let (_, by_request) = system.runs().await;
+    assert!(by_request.values().all(|count| *count == 1));
+}
+
+async fn refusals_say_why() {
+    let system = two_entries().await;
+    let entry = system.entries[0].1;
+    let stranger = Caller::new(entry, "nobody").complete("x", 1, false).await;
+    assert_eq!(
+        (stranger.status, stranger.reason().as_str()),
+        (401, "unknown-customer")
+    );
+    let caller = system.caller(0, LEDGERWELL);
+    let bad = caller
+        .send("POST", "/v1/completions", None, "{not json")
+        .await;
+    assert_eq!(
+        (bad.status, bad.reason().as_str(), bad.verdict()),
+        (400, "bad-request", "not-run")
+    );
+    let body = r#"{"model": "nothing", "prompt": "x"}"#;
+    let unknown = caller.send("POST", "/v1/completions", None, body).await;
+    assert_eq!(
+        (unknown.status, unknown.reason().as_str()),
+        (404, "unknown-service")
+    );
+    let unkeyed = caller
+        .send("POST", "/services/filings/notices", None, "x")
+        .await;
+    assert_eq!(
+        (unkeyed.status, unkeyed.reason().as_str()),
+        (400, "key-required")
+    );
+    let long = "x".repeat(17 * 1024 * 1024);
+    let long = caller
+        .send("POST", "/services/filings/notices", Some("long"), &long)
+        .await;
+    assert_eq!((long.status, long.reason().as_str()), (413, "too-large"));
+    let after = caller.complete("still there?", 2, true).await;
+    assert!(after.is_whole_stream(2));
+}
+
+cases! {
+    streams_and_filings_go_through_either_entry => either_entry_serves_streams_and_filings();
+    a_document_applied_is_in_force_at_every_process => a_document_is_in_force_everywhere();
+    concurrent_streams_keep_their_bytes => three_hundred_streams_keep_their_bytes();
+    refusals_name_reason_and_verdict => refusals_say_why();
+}
