--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,11 +6,12 @@
 mod proxy;
 mod system;
 
+#[allow(unused_imports)]
 pub use self::{
     caller::{Answer, Caller, fetch},
     process::{Process, free_address, guavacove},
     proxy::Proxy,
-    system::{STOP_LIMIT, System, get, get_json},
+    system::{Control, STOP_LIMIT, System, get, get_json},
 };
 
 pub const LEDGERWELL: &str = "ledgerwell-example-key";
