--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -7,9 +7,6 @@
     marker::PhantomData,
 };
 
-/// The most entries in one append.
-const APPEND_ENTRIES: usize = 512;
-
 key! {
     /// The intervals of a group; the same at every replica.
     pub struct Timing {
@@ -758,7 +755,7 @@
         let prev_index = progress.next_index.previous();
         let message = match self.log.term_at(prev_index) {
             Some(prev_term) => {
-                let entries = self.log.slice(progress.next_index, APPEND_ENTRIES);
+                let entries = self.log.slice(progress.next_index, R::append_entries());
                 progress.next_index = LogIndex(progress.next_index.0 + entries.len() as u64);
                 Message::Append {
                     term,
--- a/src/consensus/rules.rs
+++ b/src/consensus/rules.rs
@@ -5,6 +5,11 @@
 
 /// The safety rules of the step function. [`Sound`] is the only one that ships.
 pub trait Rules {
+    /// The most entries in one append.
+    fn append_entries() -> usize {
+        512
+    }
+
     /// The replicas whose acknowledgements count towards a commit.
     fn counted(membership: &Membership) -> BTreeSet<ReplicaId> {
         membership.voters.clone()
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -238,6 +238,29 @@
             .is_some_and(|replicas| replicas.iter().any(|replica| replica["id"] == last))
 }
 
+/// A change is held by two replicas. One of them loses its disk, the other is
+/// down, and the third never had it: the group refuses rather than forgets.
+async fn a_lost_disk_forgets_nothing() {
+    let mut system = small_group().await;
+    let leader = system.leader();
+    let (second, third) = ((leader + 1) % 3, (leader + 2) % 3);
+    system.controls[third].process.kill();
+    let client = client(&system);
+    let accepted = apply(&client, "held-by-two", 1, &document(88)).await;
+    assert_eq!(accepted, ApplyReply::Applied(DocumentVersion(2)));
+    system.controls[leader].process.kill();
+    system.controls[second].process.kill();
+    std::fs::remove_dir_all(&system.controls[second].data_folder).unwrap();
+    system.controls[second].process.start_again();
+    system.controls[third].process.start_again();
+    let read = client
+        .call(500, 4000, |client| async move { client.get().await })
+        .await;
+    assert!(read.is_err(), "answered without a quorum: {read:?}");
+    system.controls[leader].process.start_again();
+    assert_eq!(document_in_force(&client).await, (2, document(88)));
+}
+
 /// Replicas, entries and agents that missed 500 changes act on none of them.
 async fn processes_miss_many_changes() {
     let mut system = System::builder().entries(2).plain(1).start().await;
@@ -260,7 +283,15 @@
     system.controls[absent].process.start_again();
     system.entries[1].0.start_again();
     system.target("filings-1").agent.thaw();
-    let restored = |system: &System| system.controls[absent].process.log().contains("restored");
+    let restored = |system: &System| {
+        let log = system.controls[absent].process.log();
+        let entries = log
+            .lines()
+            .filter_map(|line| line.split("snapshot up to entry ").nth(1));
+        entries
+            .filter_map(|entry| entry.parse::<u64>().ok())
+            .any(|entry| entry > 100)
+    };
     eventually("the replica restores a snapshot", 10_000, || async {
         restored(&system)
     })
@@ -326,6 +357,7 @@
     nothing_accepted_reverts_when_leaders_are_frozen => a_leader_is_frozen();
     a_cut_off_leader_answers_nothing => a_leader_is_cut_off();
     lost_disks_are_replaced_one_after_the_other => disks_are_lost_one_after_the_other();
+    a_lost_disk_is_refused_rather_than_forgotten => a_lost_disk_forgets_nothing();
     processes_that_missed_many_changes_act_on_none => processes_miss_many_changes();
     a_change_is_in_force_at_thirty_processes_in_time => thirty_processes_follow();
 }
