--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -178,6 +178,15 @@
         decisions
     }
 
+    /// Grants a place at once, whatever the target holds.
+    pub fn push(&mut self, reserve: &Reserve, now_ms: u64) -> Decision {
+        let grant = self.grant(reserve.request, reserve.total_tokens, now_ms);
+        Decision::Grant {
+            request: reserve.request,
+            grant,
+        }
+    }
+
     /// Gives up a place in the queue or an unused grant.
     pub fn release(&mut self, request: RequestId, now_ms: u64) -> Vec<Decision> {
         if let Some(position) = self.positions.remove(&request) {
@@ -321,6 +330,16 @@
             .count()
     }
 
+    /// How many requests hold a place.
+    pub fn open_requests(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Whether the target holds all that it takes and as much again as may wait.
+    pub fn is_full(&self) -> bool {
+        self.holders.len() + self.waiting.len() >= self.capacity.slots + self.queue_requests
+    }
+
     /// The tokens held by grants and dispatches.
     pub fn used_tokens(&self) -> TokenCount {
         TokenCount(self.used_tokens)
@@ -338,20 +357,7 @@
             }
             let Waiting { reserve, .. } = first.remove();
             self.positions.remove(&reserve.request);
-            let number = GrantNumber(self.next_grant);
-            self.next_grant += 1;
-            self.used_tokens += reserve.total_tokens.0;
-            let phase = Phase::Granted { at_ms: now_ms };
-            let holder = Holder {
-                request: reserve.request,
-                tokens: reserve.total_tokens,
-                phase,
-            };
-            self.holders.insert(number, holder);
-            let grant = GrantId {
-                incarnation: self.incarnation,
-                number,
-            };
+            let grant = self.grant(reserve.request, reserve.total_tokens, now_ms);
             decisions.push(Decision::Grant {
                 request: reserve.request,
                 grant,
@@ -360,6 +366,25 @@
         decisions
     }
 
+    fn grant(&mut self, request: RequestId, tokens: TokenCount, now_ms: u64) -> GrantId {
+        let number = GrantNumber(self.next_grant);
+        self.next_grant += 1;
+        self.used_tokens += tokens.0;
+        let phase = Phase::Granted { at_ms: now_ms };
+        self.holders.insert(
+            number,
+            Holder {
+                request,
+                tokens,
+                phase,
+            },
+        );
+        GrantId {
+            incarnation: self.incarnation,
+            number,
+        }
+    }
+
     fn displace(&mut self, position: (TierRank, u64)) -> Option<Decision> {
         self.drop_waiting(position, Reason::Displaced)
     }
--- a/src/agent/server.rs
+++ b/src/agent/server.rs
@@ -38,6 +38,8 @@
 
 /// How often the agent looks at its clock.
 const TICK_MS: u64 = 50;
+/// How often the load is reported to entries that push.
+const LOAD_REPORT_MS: u64 = 3000;
 /// How long a reservation waits for a newer document.
 const DOCUMENT_WAIT_MS: u64 = 1000;
 /// How long an answer that nobody fetches is kept.
@@ -167,6 +169,22 @@
     }
 }
 
+/// Reports the load now and then, until the link is closed.
+async fn report_load(shared: Arc<Shared>, link: LinkSender<FromAgent>) {
+    let mut interval = tokio::time::interval(Duration::from_millis(LOAD_REPORT_MS));
+    while !link.is_closed() {
+        interval.tick().await;
+        let (open_requests, is_full) = {
+            let admission = shared.admission();
+            (admission.open_requests(), admission.is_full())
+        };
+        let _ = link.try_send(FromAgent::Load {
+            open_requests,
+            is_full,
+        });
+    }
+}
+
 async fn accept_links(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((stream, _)) = listener.accept().await {
         tokio::spawn(serve_link(stream, Arc::clone(&shared)));
@@ -277,7 +295,14 @@
 
     fn receive(self: &Arc<Self>, message: ToAgent, link: &LinkSender<FromAgent>) {
         match message {
-            ToAgent::Hello { entry, .. } => tracing::debug!("agent: link from {entry}"),
+            ToAgent::Hello {
+                entry, wants_load, ..
+            } => {
+                tracing::debug!("agent: link from {entry}");
+                if wants_load {
+                    tokio::spawn(report_load(Arc::clone(self), link.clone()));
+                }
+            }
             ToAgent::Reserve(reserve) => self.reserve(reserve, link),
             ToAgent::Release { request } => self.release(request),
             ToAgent::Dispatch {
@@ -344,7 +369,10 @@
             return refuse(link, request, reason);
         }
         self.links().insert(request, link.clone());
-        let decisions = self.admission().reserve(reserve, self.now_ms());
+        let decisions = match reserve.push {
+            true => vec![self.admission().push(&reserve, self.now_ms())],
+            false => self.admission().reserve(reserve, self.now_ms()),
+        };
         self.deliver(decisions);
     }
 
--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -190,6 +190,9 @@
     /// requests at one time (default: 64)
     #[argh(option, default = "64")]
     slots: usize,
+    /// break off the connection in place of every answer of this number
+    #[argh(option, default = "0")]
+    break_every: u64,
 }
 
 /// Reads the command line and runs the command. The exit code is 0 for
@@ -339,6 +342,7 @@
             service,
             delay_ms,
             slots,
+            break_every,
         } = self;
         let settings = PlainSettings {
             listen,
@@ -346,6 +350,7 @@
             service,
             delay_ms,
             slots,
+            break_every,
         };
         let plain = Plain::bind(settings).await.map_err(CommandError::failed)?;
         signals::stop_requested().await;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod command;
+pub mod limits;
 pub mod members;
 mod peers;
 mod replica;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -2,6 +2,7 @@
 
 use super::{
     command::{Command, Reply},
+    limits::{LimitGrant, LimitWant, Limits},
     members::{MEMBER_LEASE_MS, Members, SETTLING_MS},
     peers::{PeerMessage, Peers},
     rpc::*,
@@ -11,7 +12,7 @@
     consensus::*,
     document::Policy,
     settings::PeerSettings,
-    units::{DocumentVersion, FencingNumber, TargetName},
+    units::{DocumentVersion, FencingNumber, ProcessName, TargetName},
 };
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -60,6 +61,8 @@
     Flush,
     /// See [`SyncRequest`].
     Sync(SyncRequest, Port<SyncReply>),
+    /// Hands out parts of customers' contracts.
+    Limits(ProcessName, Vec<LimitWant>, Port<Vec<LimitGrant>>),
     /// Reads the document.
     Get(Port<AcceptedDocument>),
     /// Reads a claim.
@@ -114,6 +117,8 @@
     batch: Vec<(Command, Port<Reply>)>,
     pending: BTreeMap<LogIndex, (Term, Port<Reply>)>,
     members: Members,
+    limits: Limits,
+    policy: Policy,
     led_term: Term,
     leader_since_ms: u64,
     settled: bool,
@@ -161,6 +166,8 @@
             batch: Vec::new(),
             pending: BTreeMap::new(),
             members: Members::default(),
+            limits: Limits::default(),
+            policy: Policy::default(),
             led_term: Term(0),
             leader_since_ms: 0,
             settled: false,
@@ -186,6 +193,9 @@
             }
             ReplicaMessage::Flush => state.flush()?,
             ReplicaMessage::Sync(request, port) => state.sync(request, port),
+            ReplicaMessage::Limits(entry, wants, port) => {
+                let _ = port.send(state.leased().map(|()| state.limit(&entry, &wants)));
+            }
             ReplicaMessage::Get(port) => {
                 let reply = state.leased().map(|()| state.control.document().clone());
                 let _ = port.send(reply);
@@ -375,6 +385,7 @@
             self.leader_since_ms = now_ms;
             self.settled = false;
             self.members = Members::default();
+            self.limits = Limits::new(now_ms);
             tracing::info!("control: leads in term {}", self.led_term);
         }
         if self.leased().is_err() {
@@ -511,6 +522,20 @@
         }
     }
 
+    /// Hands out parts of the contracts in the document in force.
+    fn limit(&mut self, entry: &ProcessName, wants: &[LimitWant]) -> Vec<LimitGrant> {
+        let (now_ms, document) = (self.now_ms(), self.control.document());
+        if self.policy.version != document.version {
+            self.policy = Policy::compile(document.version, &document.yaml).unwrap_or_default();
+        }
+        let (policy, limits) = (&self.policy, &mut self.limits);
+        let grants = wants.iter().filter_map(|want| {
+            let contract = policy.contract(&want.customer)?;
+            Some(limits.grant(entry, want, contract, now_ms))
+        });
+        grants.collect()
+    }
+
     /// What a process lacks, and whether it lacks anything.
     fn reply_to(&self, request: &SyncRequest) -> (SyncReply, bool) {
         let document = self.control.document();
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -2,6 +2,7 @@
 
 use super::{
     command::{Claim, ClaimKey, ClaimedAttempt, Outcome},
+    limits::{LimitGrant, LimitWant},
     members::*,
     state::AcceptedDocument,
 };
@@ -141,6 +142,11 @@
     #[method(name = "claim_of")]
     async fn claim_of(&self, key: ClaimKey) -> RpcResult<Option<Claim>>;
 
+    /// Hands out parts of customers' contracts to an entry.
+    #[method(name = "limits")]
+    async fn limits(&self, entry: ProcessName, wants: Vec<LimitWant>)
+    -> RpcResult<Vec<LimitGrant>>;
+
     /// Starts or ends the drain of a target.
     #[method(name = "drain")]
     async fn drain(&self, target: TargetName, draining: bool) -> RpcResult<()>;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -2,6 +2,7 @@
 
 use super::{
     command::{Claim, ClaimKey, ClaimedAttempt, Command, Outcome, Reply},
+    limits::{LimitGrant, LimitWant},
     peers::{self, Peers},
     replica::*,
     rpc::*,
@@ -232,6 +233,15 @@
         self.ask(|port| ReplicaMessage::ClaimOf(key, port)).await
     }
 
+    async fn limits(
+        &self,
+        entry: ProcessName,
+        wants: Vec<LimitWant>,
+    ) -> RpcResult<Vec<LimitGrant>> {
+        self.ask(|port| ReplicaMessage::Limits(entry, wants, port))
+            .await
+    }
+
     async fn drain(&self, target: TargetName, draining: bool) -> RpcResult<()> {
         self.propose(Command::Drain { target, draining })
             .await
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -9,7 +9,7 @@
         client::ControlCallError,
         rpc::{ApplyReply, ControlRpcClient},
     },
-    entry::Entry,
+    entry::{Entry, routing::RoutingPolicy},
     settings::*,
     signals,
     standin::*,
@@ -73,6 +73,7 @@
         listen: loopback(port),
         control: control_addresses.clone(),
         balancer_delay_ms: 0,
+        routing: RoutingPolicy::default(),
         telemetry: TelemetrySettings::default(),
     })
     .await?;
@@ -95,6 +96,7 @@
         service: "filings".into(),
         delay_ms: 20,
         slots: 16,
+        break_every: 0,
     })
     .await
     .map_err(CommandError::failed)?;
--- a/src/document.rs
+++ b/src/document.rs
@@ -116,6 +116,7 @@
     services: BTreeMap<ServiceName, ServicePolicy>,
     models: HashMap<String, ServiceName>,
     customers: HashMap<[u8; 8], Vec<CustomerPolicy>>,
+    contracts: HashMap<CustomerName, ContractPolicy>,
     rules: Vec<types::Rule>,
 }
 
@@ -171,6 +172,9 @@
             let name = CustomerName(customer.name.into());
             let tier = TierName(customer.tier.into());
             let prefix = key_prefix(&key_sha256);
+            if let Some(contract) = contract {
+                policy.contracts.insert(name.clone(), contract);
+            }
             let compiled = CustomerPolicy {
                 name,
                 tier,
@@ -191,6 +195,11 @@
             .find(|customer| bool::from(customer.key_sha256.ct_eq(&sha256)))
     }
 
+    /// The contract of a customer, if it has one.
+    pub fn contract(&self, customer: &CustomerName) -> Option<ContractPolicy> {
+        self.contracts.get(customer).copied()
+    }
+
     /// The service of a model name.
     pub fn service_of_model(&self, model: &str) -> Option<&ServicePolicy> {
         self.models
--- a/src/entry/agent_links.rs
+++ b/src/entry/agent_links.rs
@@ -72,9 +72,14 @@
 pub struct AgentLinks {
     entry: ProcessName,
     incarnation: Incarnation,
+    wants_load: bool,
     links: Mutex<HashMap<String, mpsc::UnboundedSender<Command>>>,
+    loads: Loads,
 }
 
+/// The load that each agent last reported: requests held, and whether it is full.
+type Loads = Arc<Mutex<HashMap<String, (usize, bool)>>>;
+
 enum Phase {
     Reserved,
     Dispatched(GrantId),
@@ -93,14 +98,22 @@
 
 impl AgentLinks {
     /// No links yet.
-    pub fn new(entry: ProcessName, incarnation: Incarnation) -> Self {
+    pub fn new(entry: ProcessName, incarnation: Incarnation, wants_load: bool) -> Self {
         Self {
             entry,
             incarnation,
+            wants_load,
             links: Mutex::default(),
+            loads: Loads::default(),
         }
     }
 
+    /// The load that an agent last reported.
+    pub fn load(&self, address: &str) -> (usize, bool) {
+        let loads = self.loads.lock().expect("no holder panics");
+        loads.get(address).copied().unwrap_or_default()
+    }
+
     /// Starts an exchange with an agent by its first message.
     pub fn open(
         &self,
@@ -146,6 +159,7 @@
         let hello = ToAgent::Hello {
             entry: self.entry.clone(),
             incarnation: self.incarnation,
+            wants_load: self.wants_load,
         };
         let keeper = LinkKeeper {
             address: address.parse().ok(),
@@ -155,6 +169,7 @@
             exchanges: HashMap::new(),
             failed_at: None,
             lost_at: None,
+            loads: Arc::clone(&self.loads),
         };
         tokio::spawn(keeper.run());
         sender
@@ -234,6 +249,7 @@
     exchanges: HashMap<RequestId, OpenExchange>,
     failed_at: Option<Instant>,
     lost_at: Option<Instant>,
+    loads: Loads,
 }
 
 impl LinkKeeper {
@@ -326,6 +342,15 @@
     }
 
     fn pass_on(&mut self, message: FromAgent) {
+        if let FromAgent::Load {
+            open_requests,
+            is_full,
+        } = message
+        {
+            let address = self.address.map(|address| address.to_string());
+            let mut loads = self.loads.lock().expect("no holder panics");
+            loads.insert(address.unwrap_or_default(), (open_requests, is_full));
+        }
         let exchange = message
             .request()
             .and_then(|request| self.exchanges.get(&request));
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -2,6 +2,7 @@
 
 use super::{
     agent_links::{Event, Exchange},
+    limits::Permit,
     refusal::Refusal,
 };
 use crate::{
@@ -161,6 +162,7 @@
     buffered: Option<Bytes>,
     is_event_stream: bool,
     done: bool,
+    _permit: Option<Permit>,
 }
 
 /// The body of an answer to a caller.
@@ -178,13 +180,19 @@
     }
 
     /// A body that is on its way, after what was buffered of it.
-    pub fn relay(arriving: Arriving, buffered: Bytes, is_event_stream: bool) -> Self {
+    pub fn relay(
+        arriving: Arriving,
+        buffered: Bytes,
+        is_event_stream: bool,
+        permit: Option<Permit>,
+    ) -> Self {
         let buffered = (!buffered.is_empty()).then_some(buffered);
         Self::Relay(Box::new(Relay {
             arriving,
             buffered,
             is_event_stream,
             done: false,
+            _permit: permit,
         }))
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,8 @@
 mod agent_links;
 mod body;
 mod claims;
+mod limits;
+mod places;
 mod refusal;
 mod request;
 pub mod routing;
--- a/src/entry/routing.rs
+++ b/src/entry/routing.rs
@@ -3,8 +3,43 @@
 use crate::units::ProcessName;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// How many places a request that waits holds at one time.
-pub const PLACES: usize = 3;
+/// How a request is brought to an agent.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoutingPolicy {
+    /// Places are reserved at several agents; the body goes to the first that
+    /// grants one.
+    #[default]
+    LateBinding,
+    /// The baseline: the body goes at once to the less loaded of two agents, by
+    /// the load that they last reported.
+    PushToLeast,
+    /// The baseline: places are reserved at every agent, which makes one queue.
+    QueuePerService,
+}
+
+impl RoutingPolicy {
+    /// How many places a request that waits holds at first.
+    pub fn places(self) -> usize {
+        match self {
+            Self::LateBinding => 3,
+            Self::PushToLeast => 1,
+            Self::QueuePerService => usize::MAX,
+        }
+    }
+
+    /// Whether the agent that likely holds the prefix is asked first.
+    pub fn follows_prefix(self) -> bool {
+        self == Self::LateBinding
+    }
+
+    /// Whether the agent grants a place at once, whatever it holds.
+    pub fn pushes(self) -> bool {
+        self == Self::PushToLeast
+    }
+}
 
 /// An agent as routing sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,7 +48,7 @@
     pub name: ProcessName,
     /// How long this entry's requests lately had to wait there.
     pub wait_ms: u64,
-    /// How many requests of this entry hold or await a place there.
+    /// How many requests it held when it last reported; only a push asks.
     pub open_requests: usize,
 }
 
@@ -25,19 +60,27 @@
 
 /// The order in which to ask. The agent that likely holds the prompt's prefix
 /// comes first; the others follow by load, equals in an order drawn from `seed`.
-pub fn order(candidates: &[Candidate], prefix: Option<u64>, seed: u64) -> Vec<usize> {
+/// A push takes the less loaded of two agents drawn from `seed`.
+pub fn order(
+    policy: RoutingPolicy,
+    candidates: &[Candidate],
+    prefix: Option<u64>,
+    seed: u64,
+) -> Vec<usize> {
+    let drawn = |index: usize| hash((seed, &candidates[index].name));
     let mut order: Vec<usize> = (0..candidates.len()).collect();
-    order.sort_by_key(|index| {
-        let candidate = &candidates[*index];
-        (
-            candidate.wait_ms,
-            candidate.open_requests,
-            hash((seed, &candidate.name)),
-        )
-    });
-    let holder = prefix.and_then(|prefix| {
-        (0..candidates.len()).max_by_key(|index| hash((prefix, &candidates[*index].name)))
-    });
+    if policy.pushes() {
+        order.sort_by_key(|index| drawn(*index));
+        order.truncate(2);
+        order.sort_by_key(|index| candidates[*index].open_requests);
+        return order;
+    }
+    order.sort_by_key(|index| (candidates[*index].wait_ms, drawn(*index)));
+    let holder = prefix
+        .filter(|_| policy.follows_prefix())
+        .and_then(|prefix| {
+            (0..candidates.len()).max_by_key(|index| hash((prefix, &candidates[*index].name)))
+        });
     if let Some(holder) = holder {
         order.retain(|index| *index != holder);
         order.insert(0, holder);
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -1,40 +1,35 @@
 //! The course of one request: place, claim, dispatch, answer.
 
 use super::{
-    agent_links::{AgentLinks, Event, Exchange},
-    body::{AnswerBody, AnswerHead, Arrival, Arriving, EventReceiver},
+    agent_links::AgentLinks,
+    body::{AnswerBody, AnswerHead, Arrival, Arriving},
     claims::{Claimed, Claims, Replaced},
+    limits::{EntryLimits, Permit, RetryBudget},
+    places::{NoPlace, Place, Places},
     refusal::{Refusal, mark},
     request::Inbound,
-    routing::{self, Candidate},
+    routing::RoutingPolicy,
 };
 use crate::{
     control::{
         ControlClient,
-        command::{ClaimedAttempt, GrantId, Outcome, RecordedAnswer},
-        members::Member,
+        command::{ClaimedAttempt, Outcome, RecordedAnswer},
     },
-    control_view::{ControlView, View},
+    control_view::ControlView,
     telemetry,
     units::*,
     verdict::{Reason, Verdict},
-    wire::{Dispatched, FromAgent, Reserve, ToAgent},
+    wire::{Dispatched, ToAgent},
 };
 use bytes::{Bytes, BytesMut};
 use hyper::{Response, StatusCode, header::HeaderName, header::HeaderValue};
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::{Arc, Mutex},
-    time::{Duration, Instant},
-};
-use tokio::{sync::mpsc, time::timeout};
+use std::{sync::Arc, time::Duration};
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 /// How often a request is dispatched at most; each but the first after a proof
 /// that the one before did not run.
 const ATTEMPTS: u32 = 4;
-/// How long the first agent asked may be silent before others are asked too.
-const HEDGE_MS: u64 = 100;
 /// How long to wait for a document that an agent already has.
 const DOCUMENT_WAIT_MS: u64 = 1000;
 /// The longest answer that is held back until it is whole, so that its verdict
@@ -44,47 +39,38 @@
 const RECORDED_BYTES: usize = 16 * 1024;
 /// The advice when to come back where no agent gave one.
 const RETRY_AFTER_MS: u64 = 1000;
-/// How long a wait that an agent reported is believed.
-const WAIT_BELIEVED_MS: u64 = 1000;
-
 /// Schedules the requests of one entry.
 pub struct Scheduler {
     view: Arc<ControlView>,
-    links: Arc<AgentLinks>,
     claims: Claims,
-    waits: Mutex<HashMap<ProcessName, (u64, Instant)>>,
+    places: Places,
+    limits: Arc<EntryLimits>,
+    retries: RetryBudget,
     /// Work that goes on after its answer, such as settling claims.
     pub background: TaskTracker,
 }
 
-/// A place that an agent granted.
-struct Place {
-    exchange: Exchange,
-    events: EventReceiver,
-    grant: GrantId,
-    member: Member,
-}
-
-/// Why no place was found.
-enum NoPlace {
-    Refused(Refusal),
-    /// An agent has this document, and the entry an older one.
-    Stale(DocumentVersion),
-}
-
 /// Why a dispatch brought no answer.
 struct Failed(Verdict, Reason);
 
 impl Scheduler {
     /// A scheduler of one entry.
-    pub fn new(view: Arc<ControlView>, links: Arc<AgentLinks>, client: Arc<ControlClient>) -> Self {
-        let claims = Claims::new(client, Arc::clone(&links));
+    pub fn new(
+        view: Arc<ControlView>,
+        links: Arc<AgentLinks>,
+        client: Arc<ControlClient>,
+        limits: Arc<EntryLimits>,
+        policy: RoutingPolicy,
+    ) -> Self {
+        let places = Places::new(Arc::clone(&links), policy);
+        let claims = Claims::new(client, links);
         let background = TaskTracker::new();
         Self {
             view,
-            links,
             claims,
-            waits: Mutex::default(),
+            places,
+            limits,
+            retries: RetryBudget::default(),
             background,
         }
     }
@@ -102,6 +88,7 @@
     }
 
     async fn run(self: &Arc<Self>, mut inbound: Inbound) -> Result<Response<AnswerBody>, Refusal> {
+        self.retries.earn();
         let mut replaces = None;
         if inbound.needs_claim() {
             match self.claims.look_up(&inbound, &self.view.load()).await? {
@@ -110,9 +97,13 @@
                 Some(Claimed::Dispatch) | None => {}
             }
         }
+        let mut permit = self.limits.admit(&inbound).await?;
         let mut own_claim = None;
         let mut last = Refusal::not_run(Reason::NoTarget, "no attempt was made");
         for number in 1..=ATTEMPTS {
+            if number > 1 && !self.retries.spend() {
+                break;
+            }
             let attempt = Attempt(number);
             let place = match self.place(&mut inbound).await {
                 Ok(place) => place,
@@ -132,7 +123,10 @@
                 }
                 replaces = own_claim;
             }
-            match self.dispatch(&inbound, attempt, place, own_claim).await {
+            match self
+                .dispatch(&inbound, attempt, place, own_claim, &mut permit)
+                .await
+            {
                 Ok(response) => return Ok(response),
                 Err(Failed(Verdict::NotRun, reason)) => {
                     let message = "the request could not be dispatched";
@@ -172,7 +166,7 @@
                 let refusal = Refusal::not_run(Reason::CutOff, message);
                 return Err(refusal.retry_after(RETRY_AFTER_MS));
             }
-            match self.find_place(inbound, &view).await {
+            match self.places.find(inbound, &view).await {
                 Ok(place) => return Ok(place),
                 Err(NoPlace::Refused(refusal)) => return Err(refusal),
                 Err(NoPlace::Stale(version)) => {
@@ -187,52 +181,6 @@
         }
     }
 
-    async fn find_place(&self, inbound: &Inbound, view: &View) -> Result<Place, NoPlace> {
-        let agents: Vec<Member> = view.agents_of(&inbound.service.name).cloned().collect();
-        let order = self.order(inbound, &agents);
-        let (sender, events) = mpsc::unbounded_channel();
-        let mut search = Search {
-            scheduler: self,
-            inbound,
-            view,
-            agents,
-            order: order.into_iter(),
-            sender,
-            events,
-            open: BTreeMap::new(),
-            shed: false,
-            retry_after_ms: None,
-        };
-        search.ask_next();
-        search.run().await
-    }
-
-    /// The agents of a service in the order in which to ask them.
-    fn order(&self, inbound: &Inbound, agents: &[Member]) -> Vec<usize> {
-        let waits = self.waits.lock().expect("no holder panics");
-        let believed = Duration::from_millis(WAIT_BELIEVED_MS);
-        let candidates: Vec<Candidate> = agents
-            .iter()
-            .map(|member| {
-                let wait = waits
-                    .get(&member.name)
-                    .filter(|(_, at)| at.elapsed() < believed);
-                let wait_ms = wait.map_or(0, |(wait_ms, _)| *wait_ms);
-                Candidate {
-                    name: member.name.clone(),
-                    wait_ms,
-                    open_requests: 0,
-                }
-            })
-            .collect();
-        routing::order(&candidates, inbound.prefix, inbound.id.1)
-    }
-
-    fn note_wait(&self, name: &ProcessName, wait_ms: u64) {
-        let mut waits = self.waits.lock().expect("no holder panics");
-        waits.insert(name.clone(), (wait_ms, Instant::now()));
-    }
-
     async fn claim(
         &self,
         inbound: &Inbound,
@@ -271,6 +219,7 @@
         attempt: Attempt,
         place: Place,
         claim: Option<Replaced>,
+        permit: &mut Option<Permit>,
     ) -> Result<Response<AnswerBody>, Failed> {
         let Place {
             mut exchange,
@@ -308,10 +257,10 @@
             .iter()
             .any(|(name, value)| name == "content-type" && value.starts_with(b"text/event-stream"));
         let body = match is_event_stream {
-            true => AnswerBody::relay(arriving, Bytes::new(), true),
+            true => AnswerBody::relay(arriving, Bytes::new(), true, permit.take()),
             false => {
                 let left = Duration::from_millis(inbound.left_ms());
-                let collected = timeout(left, collect(arriving)).await;
+                let collected = timeout(left, collect(arriving, permit)).await;
                 collected.unwrap_or(Err(Failed(Verdict::MayHaveRun, Reason::Expired)))?
             }
         };
@@ -322,149 +271,11 @@
     }
 }
 
-/// The search for a place: reservations at several agents, and their answers.
-struct Search<'a> {
-    scheduler: &'a Scheduler,
-    inbound: &'a Inbound,
-    view: &'a View,
-    agents: Vec<Member>,
-    order: std::vec::IntoIter<usize>,
-    sender: mpsc::UnboundedSender<(usize, Event)>,
-    events: EventReceiver,
-    open: BTreeMap<usize, Exchange>,
-    shed: bool,
-    retry_after_ms: Option<u64>,
-}
-
-impl Search<'_> {
-    async fn run(mut self) -> Result<Place, NoPlace> {
-        let mut patience = Duration::from_millis(HEDGE_MS);
-        loop {
-            if self.open.is_empty() && !self.ask_next() {
-                return Err(NoPlace::Refused(self.refusal()));
-            }
-            let left = Duration::from_millis(self.inbound.left_ms());
-            if left.is_zero() {
-                let message = "the request waited until its deadline";
-                let refusal = Refusal::not_run(Reason::Expired, message);
-                return Err(NoPlace::Refused(refusal.retry_after(RETRY_AFTER_MS)));
-            }
-            match timeout(patience.min(left), self.events.recv()).await {
-                Ok(Some((number, Event::Message(message)))) => {
-                    if let Some(grant) = self.take(number, message)? {
-                        return Ok(self.choose(number, grant));
-                    }
-                }
-                Ok(Some((number, Event::Lost))) => {
-                    self.open.remove(&number);
-                    self.ask_next();
-                }
-                Ok(None) | Err(_) => {
-                    self.ask_more();
-                    patience = left;
-                }
-            }
-        }
-    }
-
-    /// Asks the next agent for a place; `false` if all have been asked.
-    fn ask_next(&mut self) -> bool {
-        let Some(number) = self.order.next() else {
-            return false;
-        };
-        let inbound = self.inbound;
-        let reserve = ToAgent::Reserve(Reserve {
-            request: inbound.id,
-            tier: inbound.treatment.tier.rank,
-            service: inbound.service.name.clone(),
-            prompt_tokens: inbound.prompt_tokens,
-            total_tokens: inbound.total_tokens,
-            deadline_ms: inbound.left_ms(),
-            document_version: self.view.policy.version,
-        });
-        let (address, events) = (&self.agents[number].address, self.sender.clone());
-        let exchange = self
-            .scheduler
-            .links
-            .open(address, inbound.id, number, events, reserve);
-        self.open.insert(number, exchange);
-        true
-    }
-
-    fn ask_more(&mut self) {
-        while self.open.len() < routing::PLACES && self.ask_next() {}
-    }
-
-    /// Takes an agent's word; returns the grant if it gave one.
-    fn take(&mut self, number: usize, message: FromAgent) -> Result<Option<GrantId>, NoPlace> {
-        let name = &self.agents[number].name;
-        match message {
-            FromAgent::Granted { grant, .. } if self.open.contains_key(&number) => {
-                self.scheduler.note_wait(name, 0);
-                return Ok(Some(grant));
-            }
-            FromAgent::Queued { wait_ms, .. } => {
-                self.scheduler.note_wait(name, wait_ms.max(1));
-                self.ask_more();
-            }
-            FromAgent::Refused {
-                reason: Reason::DocumentStale(version),
-                ..
-            } => {
-                return Err(NoPlace::Stale(DocumentVersion(version)));
-            }
-            FromAgent::Refused {
-                reason,
-                retry_after_ms,
-                ..
-            } => {
-                if let Some(mut exchange) = self.open.remove(&number) {
-                    exchange.ended();
-                }
-                self.scheduler.note_wait(name, retry_after_ms);
-                self.shed |= matches!(reason, Reason::Shed | Reason::Displaced);
-                let known = self.retry_after_ms.unwrap_or(u64::MAX);
-                self.retry_after_ms = Some(known.min(retry_after_ms));
-                self.ask_next();
-            }
-            _ => {}
-        }
-        Ok(None)
-    }
-
-    /// Keeps one place and gives up the others.
-    fn choose(mut self, number: usize, grant: GrantId) -> Place {
-        let exchange = self
-            .open
-            .remove(&number)
-            .expect("checked when the grant came");
-        let member = self.agents.swap_remove(number);
-        Place {
-            exchange,
-            events: self.events,
-            grant,
-            member,
-        }
-    }
-
-    fn refusal(&self) -> Refusal {
-        let service = &self.inbound.service.name;
-        let refusal = match self.shed {
-            true => Refusal::not_run(
-                Reason::Shed,
-                format!("every queue of {service} is full of work of this tier or a higher one"),
-            ),
-            false => Refusal::not_run(
-                Reason::NoTarget,
-                format!("no target of {service} takes work"),
-            ),
-        };
-        refusal.retry_after(self.retry_after_ms.unwrap_or(RETRY_AFTER_MS))
-    }
-}
-
 /// Holds an answer back until it is whole, or too long for that.
-async fn collect(mut arriving: Arriving) -> Result<AnswerBody, Failed> {
+async fn collect(
+    mut arriving: Arriving,
+    permit: &mut Option<Permit>,
+) -> Result<AnswerBody, Failed> {
     let mut buffered = BytesMut::new();
     loop {
         match arriving.next().await {
@@ -473,7 +284,12 @@
             Arrival::Broken(verdict, reason) => return Err(Failed(verdict, reason)),
         }
         if buffered.len() > BUFFER_BYTES {
-            return Ok(AnswerBody::relay(arriving, buffered.freeze(), false));
+            return Ok(AnswerBody::relay(
+                arriving,
+                buffered.freeze(),
+                false,
+                permit.take(),
+            ));
         }
     }
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -3,6 +3,7 @@
 use super::{
     agent_links::AgentLinks,
     body::AnswerBody,
+    limits::EntryLimits,
     refusal::Refusal,
     request::{self, Inbound},
     scheduler::Scheduler,
@@ -85,8 +86,19 @@
         };
         let client = Arc::new(ControlClient::new(settings.control.clone()));
         let view = Arc::new(ControlView::spawn(Arc::clone(&client), member));
-        let links = Arc::new(AgentLinks::new(settings.name.clone(), incarnation));
-        let scheduler = Arc::new(Scheduler::new(Arc::clone(&view), links, client));
+        let links = Arc::new(AgentLinks::new(
+            settings.name.clone(),
+            incarnation,
+            settings.routing.pushes(),
+        ));
+        let limits = EntryLimits::spawn(settings.name.clone(), Arc::clone(&client));
+        let scheduler = Arc::new(Scheduler::new(
+            Arc::clone(&view),
+            links,
+            client,
+            limits,
+            settings.routing,
+        ));
         let stopping = AtomicBool::new(false);
         let shared = Arc::new(Shared {
             view,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of one process: addresses, failure domain, peers, data folder.
 
-use crate::{derives::record, units::*};
+use crate::{derives::record, entry::routing::RoutingPolicy, units::*};
 use serde::de::DeserializeOwned;
 use std::{
     fs, io,
@@ -33,6 +33,9 @@
         /// How long it stays open after it turns unready, for the balancer.
         #[serde(default = "default_balancer_delay_ms")]
         pub balancer_delay_ms: u64,
+        /// How requests are brought to agents; the others are for measurements.
+        #[serde(default)]
+        pub routing: RoutingPolicy,
         /// See [`TelemetrySettings`].
         #[serde(default)]
         pub telemetry: TelemetrySettings,
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -26,7 +26,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{net::TcpListener, sync::Notify};
 
@@ -110,6 +110,7 @@
     settings: EngineSettings,
     streams: Mutex<HashMap<String, Arc<EngineStream>>>,
     runs: Mutex<HashMap<String, u64>>,
+    starts: Mutex<HashMap<String, u64>>,
     cache: Mutex<PrefixCache>,
     prefill: tokio::sync::Mutex<()>,
     slots: tokio::sync::Semaphore,
@@ -161,6 +162,7 @@
         let shared = Arc::new(Shared {
             streams: Mutex::default(),
             runs: Mutex::default(),
+            starts: Mutex::default(),
             cache: Mutex::new(PrefixCache::new(settings.cache_tokens)),
             prefill: tokio::sync::Mutex::new(()),
             slots: tokio::sync::Semaphore::new(settings.slots),
@@ -220,6 +222,10 @@
             (Method::GET, _, Some(id)) => self.resume(&id, request.uri().query()),
             (Method::DELETE, _, Some(id)) => self.cancel(&id).map(Either::Left),
             (Method::GET, "/stats", _) => json(StatusCode::OK, &self.stats()).map(Either::Left),
+            (Method::GET, "/starts", _) => {
+                let starts = self.starts.lock().expect("no holder panics").clone();
+                json(StatusCode::OK, &json!(starts)).map(Either::Left)
+            }
             (Method::GET, "/runs", _) => {
                 let runs = self.runs.lock().expect("no holder panics").clone();
                 json(StatusCode::OK, &json!(runs)).map(Either::Left)
@@ -320,6 +326,7 @@
     /// Prefills, then decodes into the stream.
     async fn produce(&self, job: Job, stream: Arc<EngineStream>) {
         let _slot = self.slots.acquire().await;
+        self.note_start(&job.id);
         let counters = &self.counters;
         let cached = self
             .cache
@@ -355,6 +362,14 @@
         }
     }
 
+    fn note_start(&self, id: &str) {
+        let started = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or(Duration::ZERO);
+        let mut starts = self.starts.lock().expect("no holder panics");
+        starts.insert(id.into(), started.as_millis() as u64);
+    }
+
     fn slowed(&self, duration: Duration) -> Duration {
         duration * self.slowdown_percent.load(Ordering::Relaxed) as u32 / 100
     }
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -13,7 +13,6 @@
 use serde_json::json;
 use std::{
     collections::BTreeMap,
-    convert::Infallible,
     io,
     net::SocketAddr,
     sync::{
@@ -37,11 +36,16 @@
     pub delay_ms: u64,
     /// Requests at one time.
     pub slots: usize,
+    /// Breaks off the connection in place of every answer of this number; 0
+    /// breaks off none.
+    pub break_every: u64,
 }
 
 #[derive(Default)]
 struct Shared {
     delay_ms: u64,
+    break_every: u64,
+    answered: AtomicU64,
     running: AtomicU64,
     by_key: Mutex<BTreeMap<String, u64>>,
     by_request: Mutex<BTreeMap<String, u64>>,
@@ -74,8 +78,10 @@
             };
             Announcer::spawn(agent, announcement)
         });
+        let (delay_ms, break_every) = (settings.delay_ms, settings.break_every);
         let shared = Arc::new(Shared {
-            delay_ms: settings.delay_ms,
+            delay_ms,
+            break_every,
             ..Shared::default()
         });
         tokio::spawn(accept(listener, Arc::clone(&shared)));
@@ -109,7 +115,13 @@
         let shared = Arc::clone(&shared);
         let service = service_fn(move |request| {
             let shared = Arc::clone(&shared);
-            async move { Ok::<_, Infallible>(shared.answer(request).await) }
+            async move {
+                let response = shared.answer(request).await;
+                match shared.breaks_off(&response) {
+                    true => Err(io::Error::other("broken off")),
+                    false => Ok(response),
+                }
+            }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .serve_connection(TokioIo::new(stream), service);
@@ -118,6 +130,15 @@
 }
 
 impl Shared {
+    /// Whether the connection is broken off in place of an answer.
+    fn breaks_off(&self, response: &Response<Full<Bytes>>) -> bool {
+        let created = response.status() == StatusCode::CREATED;
+        created && self.break_every > 0 && {
+            let number = self.answered.fetch_add(1, Ordering::Relaxed) + 1;
+            number.is_multiple_of(self.break_every)
+        }
+    }
+
     async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
         match (request.method().clone(), request.uri().path()) {
             (Method::GET, "/runs") => {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -25,6 +25,8 @@
         pub deadline_ms: u64,
         /// The entry's document.
         pub document_version: DocumentVersion,
+        /// Whether a place is granted at once, whatever the agent holds.
+        pub push: bool,
     }
 
     /// The head and body of a request as the target is to get them.
@@ -47,7 +49,7 @@
     #[allow(missing_docs)]
     pub enum ToAgent {
         /// The first message on a link.
-        Hello { entry: ProcessName, incarnation: Incarnation },
+        Hello { entry: ProcessName, incarnation: Incarnation, wants_load: bool },
         /// Asks for a place.
         Reserve(Reserve),
         /// Gives up a place or an unused grant.
@@ -69,6 +71,8 @@
     pub enum FromAgent {
         /// The first message on a link.
         Hello { target: TargetName, incarnation: Incarnation },
+        /// How many requests the target holds, now and then.
+        Load { open_requests: usize, is_full: bool },
         /// The request waits.
         Queued { request: RequestId, ahead_tokens: TokenCount, wait_ms: u64 },
         /// A place is free: dispatch.
@@ -92,7 +96,7 @@
     /// The request that it is about.
     pub fn request(&self) -> Option<RequestId> {
         match self {
-            Self::Hello { .. } => None,
+            Self::Hello { .. } | Self::Load { .. } => None,
             Self::Queued { request, .. }
             | Self::Granted { request, .. }
             | Self::Refused { request, .. }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -154,6 +154,24 @@
     told.check(&system).await;
 }
 
+/// The entry is frozen so briefly that its grants still hold when it wakes up.
+async fn an_entry_is_frozen_briefly() {
+    let system = filing_system(1).await;
+    let mut told = Told::default();
+    for round in 0..12 {
+        let keys = keys(round, 40);
+        let filings = spawn_filings(&system, 0, &keys);
+        sleep_ms(1 + round as u64 / 2).await;
+        system.entries[0].0.freeze();
+        let resends = spawn_filings(&system, 1, &keys);
+        sleep_ms(400).await;
+        system.entries[0].0.thaw();
+        gather(resends, &mut told).await;
+        gather(filings, &mut told).await;
+    }
+    told.check(&system).await;
+}
+
 /// Agents are killed before and after dispatches, and return.
 async fn agents_are_killed() {
     let mut system = filing_system(15).await;
@@ -199,6 +217,48 @@
     answer
 }
 
+/// An entry and an agent are killed together in the midst of filings.
+async fn an_entry_and_an_agent_are_killed() {
+    let mut system = System::builder().plain(20).start().await;
+    let mut told = Told::default();
+    for round in 0..8 {
+        let keys = keys(round, 10);
+        let filings = spawn_filings(&system, 0, &keys);
+        sleep_ms(4 + round as u64 * 3).await;
+        system.entries[0].0.kill();
+        system.target("filings-1").agent.kill();
+        gather(filings, &mut told).await;
+        system.target("filings-1").agent.start_again();
+        for key in &keys {
+            let answer = resend_once(&system, key, &mut told).await;
+            let settled = matches!(answer.verdict(), "ran" | "may-have-run");
+            assert!(settled, "{key}: {answer:?}");
+        }
+        system.entries[0].0.start_again();
+        system.wait_ready().await;
+    }
+    told.check(&system).await;
+}
+
+/// The target breaks off every third connection after it has run the request.
+async fn targets_break_off() {
+    let options = ["--delay-ms", "5", "--break-every", "3"];
+    let system = System::builder().plain_with(&options).start().await;
+    let mut told = Told::default();
+    for key in keys(0, 30) {
+        for entry in [0, 1, 0] {
+            let answer = system.caller(entry, LEDGERWELL).file(&key).await;
+            told.note(&key, &answer);
+            assert!(
+                matches!(answer.verdict(), "ran" | "may-have-run"),
+                "{key}: {answer:?}"
+            );
+        }
+    }
+    told.check(&system).await;
+    assert_eq!((told.ran.len(), told.may_have_run.len()), (20, 30));
+}
+
 /// The caller hangs up before its answer; a resend gets that answer.
 async fn answers_are_lost() {
     let system = filing_system(50).await;
@@ -255,7 +315,10 @@
 cases! {
     a_filing_runs_once_when_entries_are_killed => entries_are_killed();
     a_filing_runs_once_when_an_entry_is_frozen => an_entry_is_frozen();
+    a_filing_runs_once_when_an_entry_is_frozen_briefly => an_entry_is_frozen_briefly();
     a_filing_runs_once_when_agents_are_killed => agents_are_killed();
+    a_filing_runs_once_when_entry_and_agent_are_killed => an_entry_and_an_agent_are_killed();
+    a_filing_runs_once_when_its_target_breaks_off => targets_break_off();
     a_resend_gets_the_lost_answer => answers_are_lost();
     a_filing_runs_once_when_a_leader_is_killed => a_leader_is_killed_under_load();
 }
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,227 @@
+//! Membership, leaving, drains and graceful stops.
+
+mod support;
+
+use std::time::Instant;
+use support::*;
+
+/// From the brief: a leaving target gets no new work after a few seconds.
+const LEAVING_MS: u64 = 2000;
+/// A silent target is out within this time.
+const SILENT_MS: u64 = 3000;
+
+async fn started(system: &mut System, name: &str) -> u64 {
+    let address = system.target(name).address;
+    let runs = get_json(address, "/runs").await;
+    runs["by_request"]
+        .as_object()
+        .map_or(0, |runs| runs.len() as u64)
+}
+
+async fn three_plain() -> System {
+    System::builder()
+        .plain(5)
+        .plain(5)
+        .plain(5)
+        .proxied()
+        .start()
+        .await
+}
+
+/// Files in a loop through both entries; every answer must be whole.
+fn keep_filing(system: &System, count: usize) -> tokio::task::JoinHandle<Vec<Answer>> {
+    let callers = [system.caller(0, LEDGERWELL), system.caller(1, LEDGERWELL)];
+    tokio::spawn(async move {
+        let mut answers = Vec::new();
+        for number in 0..count {
+            answers.push(callers[number % 2].file(&format!("steady-{number}")).await);
+        }
+        answers
+    })
+}
+
+/// A drained target gets nothing new within two seconds, also from an entry
+/// that is cut off from control.
+async fn drains() {
+    let mut system = three_plain().await;
+    let filing = keep_filing(&system, 300);
+    sleep_ms(300).await;
+    let output = system.command(&["drain", "filings-2"]);
+    assert!(output.status.success(), "{output:?}");
+    sleep_ms(LEAVING_MS).await;
+    let before = started(&mut system, "filings-2").await;
+    let answers = filing.await.unwrap();
+    assert!(answers.iter().all(|answer| answer.status == 201));
+    for number in 0..30 {
+        let answer = system
+            .caller(0, LEDGERWELL)
+            .file(&format!("late-{number}"))
+            .await;
+        assert_eq!(answer.status, 201, "{answer:?}");
+    }
+    assert_eq!(started(&mut system, "filings-2").await, before);
+    let output = system.command(&["drain", "filings-2", "--undo"]);
+    assert!(output.status.success(), "{output:?}");
+    let taken = |runs: u64| runs > before;
+    sleep_ms(1000).await;
+    for number in 0..60 {
+        system
+            .caller(0, LEDGERWELL)
+            .file(&format!("again-{number}"))
+            .await;
+    }
+    assert!(
+        taken(started(&mut system, "filings-2").await),
+        "the drain did not end"
+    );
+}
+
+/// A target that says it leaves gets nothing new; an entry that has not heard
+/// of it is refused by the agent.
+async fn targets_leave() {
+    let mut system = three_plain().await;
+    for control in &system.controls {
+        control.rpc_proxy.as_ref().unwrap().cut();
+    }
+    let address = system.target("filings-1").address;
+    let filing = keep_filing(&system, 40);
+    system
+        .target("filings-1")
+        .process
+        .signal(nix::sys::signal::Signal::SIGTERM);
+    let answers = filing.await.unwrap();
+    assert!(answers.iter().any(|answer| answer.status == 201));
+    let (_, by_request) = system.runs().await;
+    for answer in &answers {
+        assert!(matches!(answer.verdict(), "ran" | "not-run"), "{answer:?}");
+        assert!(answer.verdict() == "ran" || !by_request.contains_key(answer.id()));
+    }
+    let _ = address;
+}
+
+/// A silent agent is out within three seconds.
+async fn silent_agents() {
+    let mut system = three_plain().await;
+    system.target("filings-3").agent.freeze();
+    let frozen = Instant::now();
+    eventually("the silent agent is out", SILENT_MS, || async {
+        let status = system.status();
+        let known = status["processes"].as_array().cloned().unwrap_or_default();
+        !known
+            .iter()
+            .any(|process| process[0]["name"] == "filings-3")
+    })
+    .await;
+    println!("out after {} ms", frozen.elapsed().as_millis());
+    let answer = system.caller(0, LEDGERWELL).file("after").await;
+    assert_eq!(answer.status, 201, "{answer:?}");
+}
+
+/// Every kind of process is stopped and started again under load: all requests
+/// are answered, none doubled.
+async fn rolling_restart() {
+    let mut system = System::builder()
+        .plain(20)
+        .plain(20)
+        .plain(20)
+        .engine(&[])
+        .engine(&[])
+        .start()
+        .await;
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let callers: Vec<_> = (0..8)
+        .map(|task| {
+            let entries: Vec<Caller> = (0..2).map(|e| system.caller(e, LEDGERWELL)).collect();
+            let stopped = stopped.clone();
+            tokio::spawn(async move {
+                let mut answers = Vec::new();
+                let mut number = 0;
+                while !*stopped.borrow() || answers.len() < 130 {
+                    // As the balancer does: the first entry that says it is ready.
+                    let order = [number % 2, 1 - number % 2];
+                    let mut chosen = None;
+                    for entry in order {
+                        if get(entries[entry].entry, "/readyz").await.status == 200 {
+                            chosen = Some(&entries[entry]);
+                            break;
+                        }
+                    }
+                    let Some(caller) = chosen else {
+                        sleep_ms(20).await;
+                        continue;
+                    };
+                    let answer = match task % 2 {
+                        0 => caller.file(&format!("rolling-{task}-{number}")).await,
+                        _ => caller.complete("x", 20, true).await,
+                    };
+                    answers.push(answer);
+                    number += 1;
+                }
+                answers
+            })
+        })
+        .collect();
+    sleep_ms(500).await;
+    for position in 0..3 {
+        assert!(
+            system.controls[position].process.terminate(STOP_LIMIT),
+            "control {position}"
+        );
+        system.controls[position].process.start_again();
+        sleep_ms(2000).await;
+    }
+    for position in 0..2 {
+        assert!(
+            system.entries[position].0.terminate(STOP_LIMIT),
+            "entry {position}"
+        );
+        system.entries[position].0.start_again();
+        sleep_ms(1500).await;
+    }
+    for target in &mut system.targets {
+        assert!(target.agent.terminate(STOP_LIMIT), "agent {}", target.name);
+        target.agent.start_again();
+        sleep_ms(1500).await;
+    }
+    stop.send(true).unwrap();
+    let (mut count, mut failed) = (0, Vec::new());
+    for caller in callers {
+        for answer in caller.await.unwrap() {
+            count += 1;
+            let whole = answer.status == 201 || answer.is_whole_stream(20);
+            if !whole {
+                failed.push(format!(
+                    "{} {} {}",
+                    answer.status,
+                    answer.verdict(),
+                    answer.text()
+                ));
+            }
+        }
+    }
+    let (by_key, by_request) = system.runs().await;
+    println!(
+        "{count} requests through the rolling restart, {} cut",
+        failed.len()
+    );
+    assert!(count >= 1000, "only {count} requests");
+    assert!(
+        failed.is_empty(),
+        "{} of {count}: {:?}",
+        failed.len(),
+        failed.first()
+    );
+    assert!(
+        by_key
+            .values()
+            .chain(by_request.values())
+            .all(|count| *count == 1)
+    );
+}
+
+cases! {
+    a_drained_target_gets_nothing_new => drains();
+    a_leaving_target_refuses_what_comes_late => targets_leave();
+    a_silent_agent_is_out_in_time => silent_agents();
+    a_rolling_restart_cuts_nothing => rolling_restart();
+}
--- a/tests/model_claims.rs
+++ b/tests/model_claims.rs
@@ -146,6 +146,7 @@
                     total_tokens: TokenCount(1),
                     deadline_ms: LAPSE_MS * 100,
                     document_version: DocumentVersion(1),
+                    push: false,
                 };
                 let decisions = self.agent.reserve(reserve, self.now_ms);
                 let granted = decisions.into_iter().find_map(|decision| match decision {
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -8,7 +8,7 @@
 use std::{net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
-const CALL_LIMIT: Duration = Duration::from_secs(60);
+const CALL_LIMIT: Duration = Duration::from_mins(1);
 
 #[derive(Debug, Default)]
 pub struct Answer {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -58,7 +58,7 @@
     }
 
     pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id() as i32);
+        let pid = Pid::from_raw(self.child.id().cast_signed());
         kill(pid, signal).expect("the process exists");
     }
 
@@ -118,6 +118,20 @@
             .unwrap_or(0)
     }
 
+    /// The processor time that it has used, in milliseconds.
+    pub fn processor_ms(&self) -> u64 {
+        const TICKS_PER_S: u64 = 100;
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        let fields = stat.rsplit(')').next().unwrap_or_default();
+        let ticks = fields.split_whitespace().skip(11).take(2);
+        ticks
+            .filter_map(|ticks| ticks.parse::<u64>().ok())
+            .sum::<u64>()
+            * 1000
+            / TICKS_PER_S
+    }
+
     pub fn id(&self) -> u32 {
         self.child.id()
     }
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -13,8 +13,6 @@
     net::{TcpListener, TcpStream},
 };
 
-const PASSES: u64 = u64::MAX;
-
 #[derive(Default)]
 struct Mode {
     /// Connections made up to this one are silent.
@@ -22,6 +20,7 @@
     /// Whether new connections are silent too.
     cut: AtomicU64,
     connections: AtomicU64,
+    passed_bytes: AtomicU64,
 }
 
 pub struct Proxy {
@@ -53,6 +52,11 @@
         Self { address, mode }
     }
 
+    /// How many bytes have passed, both ways.
+    pub fn passed_bytes(&self) -> u64 {
+        self.mode.passed_bytes.load(Ordering::Relaxed)
+    }
+
     /// Drops all bytes, of new connections too.
     pub fn cut(&self) {
         self.mode.cut.store(1, Ordering::Relaxed);
@@ -80,12 +84,14 @@
     let mut buffer = vec![0; 16 * 1024];
     while let Ok(length) = from.read(&mut buffer).await {
         let silent = mode.cut.load(Ordering::Relaxed) > 0
-            || number <= mode.silent_up_to.load(Ordering::Relaxed) && number != PASSES;
+            || number <= mode.silent_up_to.load(Ordering::Relaxed);
         match (length, silent) {
             (0, true) => std::future::pending().await,
             (0, false) => return,
             (_, true) => {}
             (length, false) => {
+                mode.passed_bytes
+                    .fetch_add(length as u64, Ordering::Relaxed);
                 if to.write_all(&buffer[..length]).await.is_err() {
                     return;
                 }
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -12,9 +12,10 @@
     controls: usize,
     entries: usize,
     engines: Vec<Vec<String>>,
-    plains: Vec<u64>,
+    plains: Vec<Vec<String>>,
     document: String,
     proxied: bool,
+    routing: &'static str,
 }
 
 pub struct Target {
@@ -54,6 +55,7 @@
             plains: Vec::new(),
             document: DOCUMENT.into(),
             proxied: false,
+            routing: "late-binding",
         }
     }
 
@@ -195,8 +197,14 @@
     }
 
     /// Adds a plain service whose requests take this long.
-    pub fn plain(mut self, delay_ms: u64) -> Self {
-        self.plains.push(delay_ms);
+    pub fn plain(self, delay_ms: u64) -> Self {
+        self.plain_with(&["--delay-ms", &delay_ms.to_string()])
+    }
+
+    /// Adds a plain service; `options` are those of `stand-in-plain`.
+    pub fn plain_with(mut self, options: &[&str]) -> Self {
+        self.plains
+            .push(options.iter().map(ToString::to_string).collect());
         self
     }
 
@@ -207,6 +215,11 @@
         }
     }
 
+    /// How entries bring requests to agents.
+    pub fn routing(self, routing: &'static str) -> Self {
+        Self { routing, ..self }
+    }
+
     /// Puts a proxy on every link between processes.
     pub fn proxied(self) -> Self {
         Self {
@@ -226,17 +239,16 @@
         };
         self.start_controls(&mut system).await;
         for position in 0..self.entries {
-            self.start_entry(&mut system, position);
+            start_entry(&mut system, position, self.routing);
         }
         for (position, options) in self.engines.iter().enumerate() {
             let name = format!("engine-{}", position + 1);
             self.start_target(&mut system, name, "stand-in-engine", options)
                 .await;
         }
-        for (position, delay_ms) in self.plains.iter().enumerate() {
-            let options = ["--delay-ms".to_string(), delay_ms.to_string()];
+        for (position, options) in self.plains.iter().enumerate() {
             let name = format!("filings-{}", position + 1);
-            self.start_target(&mut system, name, "stand-in-plain", &options)
+            self.start_target(&mut system, name, "stand-in-plain", options)
                 .await;
         }
         if !self.document.is_empty() {
@@ -294,20 +306,6 @@
         }
     }
 
-    fn start_entry(&self, system: &mut System, position: usize) {
-        let name = format!("entry-{}", position + 1);
-        let listen = free_address();
-        let settings = json!({
-            "name": name,
-            "failure_domain": failure_domain(position),
-            "listen": listen,
-            "control": system.control_addresses,
-            "balancer_delay_ms": 300,
-        });
-        let process = spawn(system, "entry", &name, &settings);
-        system.entries.push((process, listen));
-    }
-
     async fn start_target(
         &self,
         system: &mut System,
@@ -357,3 +355,18 @@
 fn failure_domain(position: usize) -> &'static str {
     ["a", "b", "c"][position % 3]
 }
+
+fn start_entry(system: &mut System, position: usize, routing: &str) {
+    let name = format!("entry-{}", position + 1);
+    let listen = free_address();
+    let settings = json!({
+            "name": name,
+            "failure_domain": failure_domain(position),
+            "listen": listen,
+            "control": system.control_addresses,
+            "balancer_delay_ms": 300,
+                "routing": routing,
+    });
+    let process = spawn(system, "entry", &name, &settings);
+    system.entries.push((process, listen));
+}
