Fence orders, revert the learnt batch, and prove leaving and stops

Ruled out: a check of the number at the agent's socket: the agent takes orders only from replies of a leader with a lease, drops a lower number than it has seen, and acts on none while its view has run out. Change: orders as the state that a target is to be in, replicated; a stand-in that checks numbers and one that does not; the batch is what the target announces; the stand-ins of the comparison announce what saturates them (8). Before: no orders.

--- a/benches/measures.rs
+++ b/benches/measures.rs
@@ -11,6 +11,7 @@
         ControlClient,
         command::*,
         members::{Member, ProcessRole, TargetState},
+        orders::TargetOrders,
         rpc::{ControlRpcClient, SyncRequest},
     },
     document::Policy,
@@ -350,7 +351,7 @@
         document_version,
         members_wanted: false,
         members_seen: None,
-        draining: false,
+        orders: TargetOrders::default(),
         wait_ms: 800,
         goodbye: false,
     }
--- a/benches/policies.rs
+++ b/benches/policies.rs
@@ -234,12 +234,16 @@
         "16000",
         "--decode-tokens-per-s",
         "80",
+        "--slots",
+        "8",
     ];
     let slow = [
         "--prefill-tokens-per-s",
         "8000",
         "--decode-tokens-per-s",
         "40",
+        "--slots",
+        "8",
     ];
     let mut builder = System::builder()
         .entries(2)
--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -252,8 +252,7 @@
         if let Some(holder) = self.remove_holder(grant.number) {
             if let Some(took_ms) = took_ms {
                 self.measure(holder.tokens, took_ms);
-                self.pace
-                    .measure(holder.answer_tokens, took_ms, self.holders.len() + 1);
+                self.pace.measure(holder.answer_tokens, took_ms);
             }
             self.outcomes.insert(grant.number, outcome);
         }
@@ -360,10 +359,10 @@
     /// Grants in order while there is room. An empty target takes any request.
     fn grant_waiting(&mut self, now_ms: u64) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        let batch = self.batch();
         while let Some(first) = self.waiting.first_entry() {
             let tokens = self.used_tokens + first.get().reserve.total_tokens.0;
-            let within = self.holders.len() < batch && tokens <= self.capacity.tokens.0;
+            let within =
+                self.holders.len() < self.capacity.slots && tokens <= self.capacity.tokens.0;
             if !within && !self.holders.is_empty() {
                 break;
             }
@@ -440,16 +439,9 @@
         Some(holder)
     }
 
-    /// How many requests run at one time: more would slow each other down.
-    fn batch(&self) -> usize {
-        self.pace
-            .batch()
-            .map_or(self.capacity.slots, |batch| batch.min(self.capacity.slots))
-    }
-
     fn expects_to_miss(&self, reserve: &Reserve) -> bool {
         let run_ms = self.pace.run_ms(reserve.answer_tokens());
-        let wait_ms = match self.holders.len() < self.batch() {
+        let wait_ms = match self.holders.len() < self.capacity.slots {
             true => 0,
             false => self.duration_ms(self.ahead_tokens((reserve.tier, u64::MAX))),
         };
--- a/src/agent/server.rs
+++ b/src/agent/server.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Admission, Announcement, Decision, Fate, announcement::ANNOUNCEMENT_LEASE_MS, answer::Answer,
-    target,
+    orders::Given, target,
 };
 use crate::{
     control::{
@@ -38,6 +38,8 @@
 
 /// How often the agent looks at its clock.
 const TICK_MS: u64 = 50;
+/// How often orders are looked at.
+const ORDERS_MS: u64 = 200;
 /// How often the load is reported to entries that push.
 const LOAD_REPORT_MS: u64 = 3000;
 /// How long a reservation waits for a newer document.
@@ -121,6 +123,7 @@
         tokio::spawn(accept_links(links, Arc::clone(&shared)));
         tokio::spawn(accept_announcements(announcements, Arc::clone(&shared)));
         tokio::spawn(tick(Arc::clone(&shared)));
+        tokio::spawn(follow_orders(Arc::clone(&shared)));
         tracing::info!("agent: {} listens at {address}", settings.name);
         Ok(Self {
             shared,
@@ -169,6 +172,18 @@
     }
 }
 
+/// Gives the target the orders in force.
+async fn follow_orders(shared: Arc<Shared>) {
+    let mut given = Given::default();
+    let mut interval = tokio::time::interval(Duration::from_millis(ORDERS_MS));
+    loop {
+        interval.tick().await;
+        if let Some(announcement) = shared.announced() {
+            given.follow(&shared.view.load(), &announcement).await;
+        }
+    }
+}
+
 /// Reports the load now and then, until the link is closed.
 async fn report_load(shared: Arc<Shared>, link: LinkSender<FromAgent>) {
     let mut interval = tokio::time::interval(Duration::from_millis(LOAD_REPORT_MS));
@@ -249,7 +264,9 @@
         match self.announced() {
             _ if !view.holds() => Err(Reason::CutOff),
             None => Err(Reason::NoTarget),
-            Some(target) if stopping || view.draining || target.leaving => Err(Reason::Leaving),
+            Some(target) if stopping || view.orders.draining || target.leaving => {
+                Err(Reason::Leaving)
+            }
             Some(target) if service.is_some_and(|service| *service != target.service) => {
                 Err(Reason::NoTarget)
             }
@@ -259,7 +276,7 @@
 
     /// Tells the control group what the target's state is.
     fn publish_target(&self) {
-        let leaving = self.stopping.load(Ordering::Relaxed) || self.view.load().draining;
+        let leaving = self.stopping.load(Ordering::Relaxed) || self.view.load().orders.draining;
         let target = self.announced().map(|announcement| TargetState {
             service: announcement.service.clone(),
             leaving: leaving || announcement.leaving,
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -22,6 +22,8 @@
 /// How long an engine may be silent within an answer before it is asked again
 /// on a new connection.
 const STREAM_SILENCE_MS: u64 = 10_000;
+/// How long a target may take to accept an order.
+const ORDER_TIMEOUT_MS: u64 = 2000;
 /// How often a broken stream is resumed before it is given up.
 const RESUMES: u32 = 3;
 /// The longest answer that is kept for a resend.
@@ -281,6 +283,16 @@
     }
 }
 
+/// Whether the target accepts an order.
+pub async fn accepts(address: SocketAddr, order: Request<Full<Bytes>>) -> bool {
+    let answered = timeout(
+        Duration::from_millis(ORDER_TIMEOUT_MS),
+        send(address, order),
+    )
+    .await;
+    answered.is_ok_and(|answer| answer.is_ok_and(|response| response.status().is_success()))
+}
+
 /// Tells the engine that nobody waits for an answer any more.
 fn cancel(announcement: &Announcement, request: RequestId) {
     if announcement.is_engine {
--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -3,7 +3,10 @@
 use crate::{
     agent::Agent,
     commands::{self, CommandError},
-    control::ControlServer,
+    control::{
+        ControlServer,
+        orders::{EngineRole, ModelName, Order},
+    },
     dev,
     entry::Entry,
     settings::{AgentSettings, ControlSettings, EntrySettings, Settings},
@@ -34,6 +37,7 @@
     Get(GetCommand),
     Status(StatusCommand),
     Drain(DrainCommand),
+    Order(OrderCommand),
     Dev(DevCommand),
     StandInEngine(StandInEngineCommand),
     StandInPlain(StandInPlainCommand),
@@ -132,6 +136,24 @@
     undo: bool,
 }
 
+/// Order an engine to load a model or to change its role.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "order")]
+struct OrderCommand {
+    /// the target
+    #[argh(positional)]
+    target: TargetName,
+    /// the model, adapter or version to load
+    #[argh(option)]
+    model: Option<ModelName>,
+    /// the role: whole, prefill or decode
+    #[argh(option)]
+    role: Option<EngineRole>,
+    /// the RPC address of a control instance; may be repeated
+    #[argh(option)]
+    control: Vec<SocketAddr>,
+}
+
 /// Run every role and stand-in targets in one process, for a first look.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "dev")]
@@ -166,6 +188,9 @@
     /// tokens held at one time (default: 32768)
     #[argh(option, default = "TokenCount(32_768)")]
     kv_tokens: TokenCount,
+    /// refuse orders with an old fencing number
+    #[argh(switch)]
+    checks_fencing: bool,
     /// prompt tokens kept in the prefix cache (default: 65536)
     #[argh(option, default = "TokenCount(65_536)")]
     cache_tokens: TokenCount,
@@ -245,7 +270,8 @@
                 target,
                 control,
                 undo,
-            }) => commands::drain(control, target, !undo).await,
+            }) => commands::order(control, target, Order::Drain(!undo)).await,
+            Self::Order(command) => command.run().await,
             Self::Dev(command) => dev::run(command.port).await,
             Self::StandInEngine(command) => command.run().await,
             Self::StandInPlain(command) => command.run().await,
@@ -316,10 +342,34 @@
     }
 }
 
+impl OrderCommand {
+    async fn run(self) -> Result<(), CommandError> {
+        let Self {
+            target,
+            model,
+            role,
+            control,
+        } = self;
+        if model.is_none() && role.is_none() {
+            let message = "say what to order with --model or --role".to_string();
+            return Err(CommandError::Invalid(message));
+        }
+        let orders = model
+            .map(Order::Load)
+            .into_iter()
+            .chain(role.map(Order::Role));
+        for order in orders {
+            commands::order(control.clone(), target.clone(), order).await?;
+        }
+        Ok(())
+    }
+}
+
 impl StandInEngineCommand {
     async fn run(self) -> Result<(), CommandError> {
         let settings = EngineSettings {
             announce: self.announce,
+            checks_fencing: self.checks_fencing,
             prefill_tokens_per_s: self.prefill_tokens_per_s,
             decode_tokens_per_s: self.decode_tokens_per_s,
             slots: self.slots,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -6,6 +6,7 @@
         ControlClient,
         client::ControlCallError,
         members::ProcessRole,
+        orders::Order,
         rpc::{ApplyReply, ControlError, ControlRpcClient, StatusReply},
         server::ControlStartError,
     },
@@ -284,33 +285,33 @@
                 member.name, member.failure_domain, member.address
             )?;
         }
-        for target in &self.drains {
-            writeln!(f, "  drained: {target}")?;
+        for (target, orders) in &self.orders {
+            writeln!(f, "  ordered: {target}: {orders}")?;
         }
         Ok(())
     }
 }
 
-/// Starts or ends the drain of a target.
+/// Changes the state that a target is to be in.
 ///
 /// # Errors
 /// Fails if no leader answers.
-pub async fn drain(
+pub async fn order(
     control: Vec<SocketAddr>,
     target: TargetName,
-    draining: bool,
+    order: Order,
 ) -> Result<(), CommandError> {
     let client = client(control)?;
-    let drain = client.call(CALL_TIMEOUT_MS, COMMAND_TIMEOUT_MS, |client| {
-        let target = target.clone();
-        async move { client.drain(target, draining).await }
+    let ordered = client.call(CALL_TIMEOUT_MS, COMMAND_TIMEOUT_MS, |client| {
+        let (target, order) = (target.clone(), order.clone());
+        async move { client.order(target, order).await }
     });
-    drain.await?;
-    let state = if draining {
-        "takes no new work"
-    } else {
-        "takes work again"
-    };
-    println!("{target} {state}");
+    ordered.await?;
+    match order {
+        Order::Drain(true) => println!("{target} takes no new work"),
+        Order::Drain(false) => println!("{target} takes work again"),
+        Order::Load(model) => println!("{target} is to load {model}"),
+        Order::Role(role) => println!("{target} is to have the role {role}"),
+    }
     Ok(())
 }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,5 +1,6 @@
 //! Commands of the replicated state machine, and their replies.
 
+use super::orders::Order;
 use crate::{
     derives::{key, record},
     units::*,
@@ -113,12 +114,12 @@
             /// What became of it.
             outcome: Outcome,
         },
-        /// Starts or ends the drain of a target.
-        Drain {
+        /// Changes the state that a target is to be in.
+        Order {
             /// The target.
             target: TargetName,
-            /// Whether it is to take no new work.
-            draining: bool,
+            /// The change.
+            order: Order,
         },
         /// Forgets claims made before a time.
         ExpireClaims {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod command;
 pub mod limits;
 pub mod members;
+pub mod orders;
 mod peers;
 mod replica;
 pub mod rpc;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -546,17 +546,20 @@
             true => self.members.changes(request.members_seen.as_ref(), epoch),
             false => None,
         };
-        let draining = self
+        let target = TargetName(request.member.name.0.clone());
+        let orders = self
             .control
-            .drains()
-            .contains(&TargetName(request.member.name.0.clone()));
-        let is_news = document.is_some() || members.is_some() || draining != request.draining;
+            .orders()
+            .get(&target)
+            .cloned()
+            .unwrap_or_default();
+        let is_news = document.is_some() || members.is_some() || orders != request.orders;
         (
             SyncReply {
                 fencing,
                 document,
                 members,
-                draining,
+                orders,
             },
             is_news,
         )
@@ -612,7 +615,7 @@
             replicas: replicas.collect(),
             document_version: self.control.document().version,
             claims: self.control.claim_count() as u64,
-            drains: self.control.drains().iter().cloned().collect(),
+            orders: self.control.orders().clone().into_iter().collect(),
             processes: self.members.versions(),
         }
     }
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -4,6 +4,7 @@
     command::{Claim, ClaimKey, ClaimedAttempt, Outcome},
     limits::{LimitGrant, LimitWant},
     members::*,
+    orders::{Order, TargetOrders},
     state::AcceptedDocument,
 };
 use crate::{derives::record, document::Faults, units::*};
@@ -24,8 +25,8 @@
         pub members_wanted: bool,
         /// See `members_wanted`.
         pub members_seen: Option<MembersSeen>,
-        /// Whether a drain of its target is known to it.
-        pub draining: bool,
+        /// The orders to its target that it knows.
+        pub orders: TargetOrders,
         /// How long the leader may wait for something new, in milliseconds.
         pub wait_ms: u64,
         /// Whether the process says goodbye.
@@ -40,8 +41,8 @@
         pub document: Option<AcceptedDocument>,
         /// What it lacks of the members.
         pub members: Option<MemberChanges>,
-        /// Whether its target is to take no new work.
-        pub draining: bool,
+        /// The state that its target is to be in.
+        pub orders: TargetOrders,
     }
 
     /// The answer to a change of the document.
@@ -91,8 +92,8 @@
         pub document_version: DocumentVersion,
         /// How many claims are kept.
         pub claims: u64,
-        /// The targets that are being drained.
-        pub drains: Vec<TargetName>,
+        /// The state that each target is to be in, where it was ordered.
+        pub orders: Vec<(TargetName, TargetOrders)>,
         /// Every process, and the version that it has in force.
         pub processes: Vec<(Member, DocumentVersion)>,
     }
@@ -147,9 +148,9 @@
     async fn limits(&self, entry: ProcessName, wants: Vec<LimitWant>)
     -> RpcResult<Vec<LimitGrant>>;
 
-    /// Starts or ends the drain of a target.
-    #[method(name = "drain")]
-    async fn drain(&self, target: TargetName, draining: bool) -> RpcResult<()>;
+    /// Changes the state that a target is to be in.
+    #[method(name = "order")]
+    async fn order(&self, target: TargetName, order: Order) -> RpcResult<()>;
 
     /// Reads the state of the control group.
     #[method(name = "status")]
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -3,6 +3,7 @@
 use super::{
     command::{Claim, ClaimKey, ClaimedAttempt, Command, Outcome, Reply},
     limits::{LimitGrant, LimitWant},
+    orders::Order,
     peers::{self, Peers},
     replica::*,
     rpc::*,
@@ -242,8 +243,8 @@
             .await
     }
 
-    async fn drain(&self, target: TargetName, draining: bool) -> RpcResult<()> {
-        self.propose(Command::Drain { target, draining })
+    async fn order(&self, target: TargetName, order: Order) -> RpcResult<()> {
+        self.propose(Command::Order { target, order })
             .await
             .map(drop)
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,8 +1,8 @@
 //! The replicated state machine: the document, change ids and claims.
 
-use super::command::*;
+use super::{command::*, orders::TargetOrders};
 use crate::{derives::record, units::*};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// How many change ids are kept to recognise resends.
 const REMEMBERED_CHANGES: usize = 4096;
@@ -32,7 +32,7 @@
         document: AcceptedDocument,
         changes: VecDeque<RememberedChange>,
         claims: BTreeMap<ClaimKey, Claim>,
-        drains: BTreeSet<TargetName>,
+        orders: BTreeMap<TargetName, TargetOrders>,
     }
 }
 
@@ -42,9 +42,9 @@
         &self.document
     }
 
-    /// The targets that are to take no new work.
-    pub fn drains(&self) -> &BTreeSet<TargetName> {
-        &self.drains
+    /// The state that each target is to be in, where it was ordered.
+    pub fn orders(&self) -> &BTreeMap<TargetName, TargetOrders> {
+        &self.orders
     }
 
     /// How many claims are kept.
@@ -78,11 +78,8 @@
                 attempt,
                 outcome,
             } => self.settle(&key, request, attempt, outcome),
-            Command::Drain { target, draining } => {
-                match draining {
-                    true => self.drains.insert(target),
-                    false => self.drains.remove(&target),
-                };
+            Command::Order { target, order } => {
+                self.orders.entry(target).or_default().take(order);
                 Reply::Done
             }
             Command::ExpireClaims { before_unix_ms } => {
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -6,7 +6,7 @@
 //! new work, as a newer document may be in force.
 
 use crate::{
-    control::{ControlClient, members::*, rpc::*},
+    control::{ControlClient, members::*, orders::TargetOrders, rpc::*},
     document::Policy,
     threads,
     units::*,
@@ -38,8 +38,8 @@
     pub agents: Arc<BTreeMap<ProcessName, Member>>,
     /// The leader's fencing number.
     pub fencing: FencingNumber,
-    /// Whether the target beside this process is to take no new work.
-    pub draining: bool,
+    /// The state that the target beside this process is to be in.
+    pub orders: TargetOrders,
     valid_until: Option<Instant>,
     members_seen: Option<MembersSeen>,
 }
@@ -138,7 +138,7 @@
         document_version: view.policy.version,
         members_wanted: member.role == ProcessRole::Entry,
         members_seen: view.members_seen.clone(),
-        draining: view.draining,
+        orders: view.orders.clone(),
         wait_ms: if goodbye { 0 } else { RENEWAL_WAIT_MS },
         goodbye,
         member,
@@ -262,6 +262,6 @@
         view.members_seen = Some(changes.seen);
     }
     view.fencing = reply.fencing;
-    view.draining = reply.draining;
+    view.orders = reply.orders;
     true
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -56,6 +56,8 @@
     pub kv_tokens: TokenCount,
     /// Prompt tokens kept in the prefix cache.
     pub cache_tokens: TokenCount,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
 }
 
 impl EngineSettings {
@@ -71,6 +73,7 @@
             slots: 16,
             kv_tokens: TokenCount(32_768),
             cache_tokens: TokenCount(65_536),
+            checks_fencing: false,
         }
     }
 }
@@ -111,6 +114,7 @@
     streams: Mutex<HashMap<String, Arc<EngineStream>>>,
     runs: Mutex<HashMap<String, u64>>,
     starts: Mutex<HashMap<String, u64>>,
+    orders: Mutex<Vec<Value>>,
     cache: Mutex<PrefixCache>,
     prefill: tokio::sync::Mutex<()>,
     slots: tokio::sync::Semaphore,
@@ -154,7 +158,7 @@
                 slots: settings.slots,
                 kv_tokens: settings.kv_tokens,
                 is_engine: true,
-                checks_fencing: false,
+                checks_fencing: settings.checks_fencing,
                 leaving: false,
             };
             Announcer::spawn(agent, announcement)
@@ -163,6 +167,7 @@
             streams: Mutex::default(),
             runs: Mutex::default(),
             starts: Mutex::default(),
+            orders: Mutex::default(),
             cache: Mutex::new(PrefixCache::new(settings.cache_tokens)),
             prefill: tokio::sync::Mutex::new(()),
             slots: tokio::sync::Semaphore::new(settings.slots),
@@ -230,6 +235,11 @@
                 let runs = self.runs.lock().expect("no holder panics").clone();
                 json(StatusCode::OK, &json!(runs)).map(Either::Left)
             }
+            (Method::PUT, "/orders", _) => self.take_orders(request).await.map(Either::Left),
+            (Method::GET, "/orders", _) => {
+                let orders = self.orders.lock().expect("no holder panics").clone();
+                json(StatusCode::OK, &json!(orders)).map(Either::Left)
+            }
             (Method::PUT, "/slowdown", _) => {
                 let percent = request.uri().query().and_then(|query| query.parse().ok());
                 self.slowdown_percent
@@ -240,6 +250,32 @@
         }
     }
 
+    /// Takes orders, and remembers every one that it took.
+    async fn take_orders(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let body = request
+            .into_body()
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes);
+        let order = body
+            .ok()
+            .and_then(|body| serde_json::from_slice::<Value>(&body).ok());
+        let order = order.unwrap_or_default();
+        let mut orders = self.orders.lock().expect("no holder panics");
+        let highest = orders
+            .iter()
+            .filter_map(|order| order["fencing"].as_u64())
+            .max();
+        if self.settings.checks_fencing && order["fencing"].as_u64() < highest {
+            return json(
+                StatusCode::CONFLICT,
+                &json!({"error": "an old fencing number"}),
+            );
+        }
+        orders.push(order);
+        json(StatusCode::OK, &json!({}))
+    }
+
     fn stats(&self) -> Value {
         let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         json!({
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -7,6 +7,8 @@
 
 /// From the brief: a leaving target gets no new work after a few seconds.
 const LEAVING_MS: u64 = 2000;
+/// How long a control leader is cut off.
+const CUT_MS: u128 = 30_000;
 /// A silent target is out within this time.
 const SILENT_MS: u64 = 3000;
 
@@ -238,7 +240,80 @@
     );
 }
 
+/// Orders carry a number that grows with leadership. A leader on the wrong side
+/// of a long cut gives none that take effect, also at an engine that ignores the
+/// number and after its agent has restarted.
+async fn orders_are_fenced() {
+    let engines = System::builder().engine(&[]).engine(&["--checks-fencing"]);
+    let mut system = engines.entries(1).proxied().start().await;
+    for target in ["engine-1", "engine-2"] {
+        assert!(
+            system
+                .command(&["order", target, "--model", "first"])
+                .status
+                .success()
+        );
+        has_order(&mut system, target, "first").await;
+    }
+    let leader = system.leader();
+    let address = system.controls[leader].rpc.to_string();
+    system.cut_control(leader, true);
+    let cut = Instant::now();
+    sleep_ms(1500).await;
+    let stale = guavacove(&[
+        "order",
+        "engine-1",
+        "--model",
+        "stale",
+        "--control",
+        &address,
+    ]);
+    assert!(!stale.status.success(), "the cut-off leader took an order");
+    for target in ["engine-1", "engine-2"] {
+        assert!(
+            system
+                .command(&["order", target, "--model", "second"])
+                .status
+                .success()
+        );
+        has_order(&mut system, target, "second").await;
+    }
+    system.target("engine-1").agent.kill();
+    system.target("engine-1").agent.start_again();
+    while cut.elapsed().as_millis() < CUT_MS {
+        sleep_ms(100).await;
+    }
+    system.cut_control(leader, false);
+    sleep_ms(3000).await;
+    for target in ["engine-1", "engine-2"] {
+        let orders = get_json(system.target(target).address, "/orders").await;
+        let orders = orders.as_array().cloned().unwrap_or_default();
+        let fencing: Vec<u64> = orders
+            .iter()
+            .filter_map(|o| o["fencing"].as_u64())
+            .collect();
+        assert!(fencing.is_sorted(), "{orders:?}");
+        assert!(
+            orders.iter().all(|order| order["model"] != "stale"),
+            "{orders:?}"
+        );
+        assert_eq!(orders.last().unwrap()["model"], "second", "{orders:?}");
+    }
+}
+
+async fn has_order(system: &mut System, target: &str, model: &str) {
+    let address = system.target(target).address;
+    eventually("the order has arrived", 3000, || async {
+        let orders = get_json(address, "/orders").await;
+        orders
+            .as_array()
+            .is_some_and(|o| o.last().is_some_and(|last| last["model"] == model))
+    })
+    .await;
+}
+
 cases! {
+    orders_of_a_cut_off_leader_take_no_effect => orders_are_fenced();
     a_drained_target_gets_nothing_new => drains();
     a_leaving_target_refuses_what_comes_late => targets_leave();
     a_silent_agent_is_out_in_time => silent_agents();
