--- a/benches/measures.rs
+++ b/benches/measures.rs
@@ -54,7 +54,9 @@
         let response = sender.send_request(request).await.unwrap();
         assert!(response.status().is_success());
         let _ = response.into_body().collect().await;
-        histogram.saturating_record(started.elapsed().as_micros() as u64);
+        histogram
+            .record(started.elapsed().as_micros() as u64)
+            .unwrap();
     }
     histogram
 }
@@ -269,7 +271,9 @@
                         async move { client.claim(key, vec![0; 32], attempt, None).await }
                     });
                     reply.await.unwrap();
-                    histogram.saturating_record(started.elapsed().as_micros() as u64);
+                    histogram
+                        .record(started.elapsed().as_micros() as u64)
+                        .unwrap();
                 }
                 histogram
             })
--- a/src/agent/server.rs
+++ b/src/agent/server.rs
@@ -12,6 +12,7 @@
     },
     control_view::ControlView,
     link::{self, LinkReceiver, LinkSender},
+    metrics,
     settings::AgentSettings,
     telemetry,
     units::*,
@@ -505,6 +506,7 @@
             .instrument(call)
             .await;
         let whole = matches!(outcome, Outcome::Answered(_) | Outcome::AnsweredLong);
+        metrics::prompt(head.prompt_tokens, whole);
         let took_ms = whole.then(|| began.elapsed().as_millis() as u64);
         let outcome = match head.keep_outcome {
             true => outcome,
--- a/src/entry/agent_links.rs
+++ b/src/entry/agent_links.rs
@@ -254,8 +254,9 @@
 
 impl LinkKeeper {
     async fn run(mut self) {
+        let mut idle = tokio::time::interval(Duration::from_millis(IDLE_MS));
+        let mut unused = false;
         loop {
-            let idle = Duration::from_millis(IDLE_MS);
             match &mut self.link {
                 Some(link) => tokio::select! {
                     message = link.receiver.receive() => match message {
@@ -263,17 +264,23 @@
                         None => self.lose_link(),
                     },
                     command = self.commands.recv() => match command {
-                        Some(command) => self.take(command).await,
+                        Some(command) => {
+                            unused = false;
+                            self.take(command).await;
+                        }
                         None => return,
                     },
-                    () = tokio::time::sleep(idle), if self.exchanges.is_empty() => return,
-                },
-                None if self.exchanges.is_empty() => {
-                    match timeout(idle, self.commands.recv()).await {
-                        Ok(Some(command)) => self.take(command).await,
-                        Ok(None) | Err(_) => return,
+                    _ = idle.tick() => {
+                        if unused && self.exchanges.is_empty() {
+                            return;
+                        }
+                        unused = true;
                     }
-                }
+                },
+                None if self.exchanges.is_empty() => match self.commands.recv().await {
+                    Some(command) => self.take(command).await,
+                    None => return,
+                },
                 None => self.reconnect().await,
             }
         }
--- a/src/entry/places.rs
+++ b/src/entry/places.rs
@@ -23,6 +23,9 @@
 
 /// How long the first agent asked may be silent before others are asked too.
 const HEDGE_MS: u64 = 100;
+/// A wait up to this at the first agent asked is given [`HEDGE_MS`] before
+/// others are asked, as that agent likely holds the prefix.
+const PREFIX_WAIT_MS: u64 = 250;
 /// How often a request that waits asks one more agent.
 const WIDEN_MS: u64 = 250;
 /// How long a wait that an agent reported is believed.
@@ -229,7 +232,9 @@
             }
             FromAgent::Queued { wait_ms, .. } => {
                 self.places.note_wait(name, wait_ms.max(1));
-                self.ask_more();
+                if wait_ms > PREFIX_WAIT_MS {
+                    self.ask_more();
+                }
             }
             FromAgent::Refused {
                 reason: Reason::DocumentStale(version),
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -16,14 +16,17 @@
         command::{ClaimedAttempt, Outcome, RecordedAnswer},
     },
     control_view::ControlView,
-    telemetry,
+    metrics, telemetry,
     units::*,
     verdict::{Reason, Verdict},
     wire::{Dispatched, ToAgent},
 };
 use bytes::{Bytes, BytesMut};
 use hyper::{Response, StatusCode, header::HeaderName, header::HeaderValue};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
@@ -78,9 +81,15 @@
     /// Serves one request.
     pub async fn serve(self: &Arc<Self>, inbound: Inbound) -> Response<AnswerBody> {
         let id = inbound.id;
+        let (tier, arrived) = (inbound.treatment.tier.clone(), inbound.arrived);
         match self.run(inbound).await {
-            Ok(response) => response,
+            Ok(response) => {
+                let took_ms = arrived.elapsed().as_millis() as u64;
+                metrics::answered(&tier.name, took_ms <= tier.deadline_ms);
+                response
+            }
             Err(refusal) => {
+                metrics::refused(&tier.name, refusal.verdict, &refusal.reason);
                 tracing::debug!("entry: refuses {id}: {refusal}");
                 refusal.into_response(id)
             }
@@ -105,8 +114,13 @@
                 break;
             }
             let attempt = Attempt(number);
+            let sought = Instant::now();
             let place = match self.place(&mut inbound).await {
-                Ok(place) => place,
+                Ok(place) => {
+                    let wait_ms = sought.elapsed().as_millis() as u64;
+                    metrics::waited(&inbound.treatment.tier.name, wait_ms);
+                    place
+                }
                 Err(refusal) => {
                     last = refusal;
                     break;
@@ -233,6 +247,7 @@
             path: inbound.path.clone(),
             headers: inbound.headers.clone(),
             body: inbound.body.clone(),
+            prompt_tokens: inbound.prompt_tokens,
             keep_outcome: claim.is_some(),
             traceparent: telemetry::traceparent(&tracing::Span::current()),
         });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod document_types;
 pub mod entry;
 pub mod link;
+pub mod metrics;
 pub mod settings;
 pub mod signals;
 pub mod standin;
--- a/src/link.rs
+++ b/src/link.rs
@@ -209,19 +209,22 @@
     work: Arc<AtomicU64>,
 ) {
     let mut stream = FramedRead::new(read_half, codec());
-    let mut silent_since = Instant::now();
+    let mut heard = Instant::now();
+    let mut check = tokio::time::interval(Duration::from_millis(HEARTBEAT_MS));
     loop {
-        let quiet = Duration::from_millis(HEARTBEAT_MS);
-        let frame: Option<Result<BytesMut, io::Error>> = match timeout(quiet, stream.next()).await {
-            Ok(frame) => frame,
-            Err(_) if work.load(Ordering::Relaxed) == 0 => {
-                silent_since = Instant::now();
+        let frame: Option<Result<BytesMut, io::Error>> = tokio::select! {
+            biased;
+            frame = stream.next() => frame,
+            _ = check.tick() => {
+                if work.load(Ordering::Relaxed) == 0 {
+                    heard = Instant::now();
+                } else if heard.elapsed() > Duration::from_millis(SILENCE_MS) {
+                    return;
+                }
                 continue;
             }
-            Err(_) if silent_since.elapsed() > Duration::from_millis(SILENCE_MS) => return,
-            Err(_) => continue,
         };
-        silent_since = Instant::now();
+        heard = Instant::now();
         let decoded = match frame {
             Some(Ok(bytes)) => postcard::from_bytes::<Frame<In>>(&bytes),
             _ => return,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,12 +1,17 @@
 //! Logs, traces and metrics of one process.
 
 use crate::settings::TelemetrySettings;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, client::conn::http1};
+use hyper_util::rt::TokioIo;
 use opentelemetry::{
     KeyValue, global,
     propagation::{Extractor, Injector, TextMapPropagator},
     trace::TracerProvider,
 };
-use opentelemetry_otlp::{MetricExporter, SpanExporter, WithExportConfig};
+use opentelemetry_http::{HttpClient, HttpError};
+use opentelemetry_otlp::{MetricExporter, SpanExporter, WithExportConfig, WithHttpConfig};
 use opentelemetry_sdk::{
     Resource,
     metrics::{PeriodicReader, SdkMeterProvider},
@@ -14,6 +19,7 @@
     trace::SdkTracerProvider,
 };
 use std::{collections::HashMap, time::Duration};
+use tokio::{net::TcpStream, runtime::Handle, time::timeout};
 use tracing::Span;
 use tracing_opentelemetry::OpenTelemetrySpanExt;
 use tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt};
@@ -23,6 +29,52 @@
 /// How often metrics are exported.
 const METRIC_INTERVAL_MS: u64 = 5000;
 
+/// How long one export may take.
+const EXPORT_TIMEOUT_MS: u64 = 3000;
+
+/// Sends exports on the process's runtime; the exporters run on threads of
+/// their own, without one.
+#[derive(Debug)]
+struct CollectorClient(Handle);
+
+#[jsonrpsee::core::async_trait]
+impl HttpClient for CollectorClient {
+    async fn send_bytes(&self, request: Request<Bytes>) -> Result<Response<Bytes>, HttpError> {
+        let limit = Duration::from_millis(EXPORT_TIMEOUT_MS);
+        let sending = self
+            .0
+            .spawn(async move { timeout(limit, send(request)).await });
+        sending.await??
+    }
+}
+
+async fn send(request: Request<Bytes>) -> Result<Response<Bytes>, HttpError> {
+    let authority = request
+        .uri()
+        .authority()
+        .map(ToString::to_string)
+        .unwrap_or_default();
+    let stream = TcpStream::connect(&authority).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let (mut parts, body) = request.into_parts();
+    let path = parts
+        .uri
+        .path_and_query()
+        .map(ToString::to_string)
+        .unwrap_or_default();
+    parts.uri = path.parse()?;
+    parts.headers.insert("host", authority.parse()?);
+    let response = sender
+        .send_request(Request::from_parts(parts, Full::new(body)))
+        .await?;
+    let (parts, body) = response.into_parts();
+    Ok(Response::from_parts(
+        parts,
+        body.collect().await?.to_bytes(),
+    ))
+}
+
 /// The exporters of a process; dropped last, so that they flush.
 pub struct Telemetry {
     tracer: Option<SdkTracerProvider>,
@@ -88,6 +140,7 @@
 fn tracer(endpoint: &str, process: &str) -> Option<SdkTracerProvider> {
     let exporter = SpanExporter::builder()
         .with_http()
+        .with_http_client(CollectorClient(Handle::current()))
         .with_endpoint(format!("{endpoint}/v1/traces"))
         .build()
         .inspect_err(|error| tracing::warn!("telemetry: no traces: {error}"))
@@ -99,6 +152,7 @@
 fn meter(endpoint: &str, process: &str) -> Option<SdkMeterProvider> {
     let exporter = MetricExporter::builder()
         .with_http()
+        .with_http_client(CollectorClient(Handle::current()))
         .with_endpoint(format!("{endpoint}/v1/metrics"))
         .build()
         .inspect_err(|error| tracing::warn!("telemetry: no metrics: {error}"))
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -41,6 +41,8 @@
         pub headers: Vec<(String, Bytes)>,
         /// The whole body.
         pub body: Bytes,
+        /// The tokens of its prompt, estimated.
+        pub prompt_tokens: TokenCount,
         /// Whether the agent keeps the outcome for a resend.
         pub keep_outcome: bool,
         /// The trace that the call continues.
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -16,6 +16,7 @@
     document: String,
     proxied: bool,
     routing: &'static str,
+    collector: Option<String>,
 }
 
 pub struct Target {
@@ -56,6 +57,7 @@
             document: DOCUMENT.into(),
             proxied: false,
             routing: "late-binding",
+            collector: None,
         }
     }
 
@@ -220,6 +222,14 @@
         Self { routing, ..self }
     }
 
+    /// Sends traces and metrics of entries and agents to a collector.
+    pub fn collector(self, endpoint: &str) -> Self {
+        Self {
+            collector: Some(endpoint.into()),
+            ..self
+        }
+    }
+
     /// Puts a proxy on every link between processes.
     pub fn proxied(self) -> Self {
         Self {
@@ -239,7 +249,12 @@
         };
         self.start_controls(&mut system).await;
         for position in 0..self.entries {
-            start_entry(&mut system, position, self.routing);
+            start_entry(
+                &mut system,
+                position,
+                self.routing,
+                self.collector.as_deref(),
+            );
         }
         for (position, options) in self.engines.iter().enumerate() {
             let name = format!("engine-{}", position + 1);
@@ -325,6 +340,7 @@
             "advertise": link.as_ref().map(|proxy| proxy.address),
             "announce": announce,
             "control": system.control_addresses,
+            "telemetry": {"otlp_endpoint": self.collector},
         });
         let agent = spawn(system, "agent", &name, &settings);
         let mut words = vec![command.to_string()];
@@ -356,7 +372,7 @@
     ["a", "b", "c"][position % 3]
 }
 
-fn start_entry(system: &mut System, position: usize, routing: &str) {
+fn start_entry(system: &mut System, position: usize, routing: &str, collector: Option<&str>) {
     let name = format!("entry-{}", position + 1);
     let listen = free_address();
     let settings = json!({
@@ -365,7 +381,8 @@
             "listen": listen,
             "control": system.control_addresses,
             "balancer_delay_ms": 300,
-                "routing": routing,
+            "routing": routing,
+            "telemetry": {"otlp_endpoint": collector},
     });
     let process = spawn(system, "entry", &name, &settings);
     system.entries.push((process, listen));
