--- a/benches/policies.rs
+++ b/benches/policies.rs
@@ -2,7 +2,8 @@
 //! against stand-in engines of two speeds: `cargo bench --bench policies`.
 //!
 //! `GUAVACOVE_SEEDS` (default 2) sets how many seeds, `GUAVACOVE_RUN_S`
-//! (default 12) how long requests arrive in each run. `GUAVACOVE_SCENARIO` and
+//! (default 12) how long requests arrive in each run, after a warm-up that is not
+//! counted. `GUAVACOVE_SCENARIO` and
 //! `GUAVACOVE_POLICY` pick some by a part of their names; `GUAVACOVE_TRACE`
 //! prints the live requests that were not answered in time.
 
@@ -75,6 +76,7 @@
     ended_ms: u64,
     whole: bool,
     verdict: String,
+    reason: String,
     first_token_ms: Option<u64>,
     between_ms: Vec<u64>,
 }
@@ -136,6 +138,7 @@
         ended_ms: 0,
         whole: false,
         verdict: String::new(),
+        reason: String::new(),
         first_token_ms: None,
         between_ms: Vec::new(),
     };
@@ -177,6 +180,7 @@
     let succeeded = response.status().is_success();
     let mut last = None;
     let mut tail = Vec::new();
+    let mut refusal_text = Vec::new();
     while let Some(frame) = response.frame().await {
         let bytes = frame.ok()?.into_data().unwrap_or_default();
         let now = Instant::now();
@@ -191,10 +195,18 @@
             }
         }
         last = Some(now);
+        if !succeeded {
+            refusal_text.extend_from_slice(&bytes);
+        }
         tail.extend_from_slice(&bytes);
         let surplus = tail.len().saturating_sub(32);
         tail.drain(..surplus);
     }
+    let refusal: serde_json::Value = serde_json::from_slice(&refusal_text).unwrap_or_default();
+    served.reason = refusal["error"]["reason"]
+        .as_str()
+        .unwrap_or_default()
+        .into();
     served.whole = succeeded && String::from_utf8_lossy(&tail).contains("[DONE]");
     if !succeeded {
         served.first_token_ms = None;
@@ -258,8 +270,25 @@
     builder.start().await
 }
 
+/// Requests that are not counted, so that every agent has seen its engine.
+async fn warm_up(system: &System) {
+    let entries: Vec<SocketAddr> = system.entries.iter().map(|(_, entry)| *entry).collect();
+    let calls = (0..96).map(|number| {
+        let prompt = format!("warm-up {number}");
+        let arrival = Arrival {
+            at_ms: 0,
+            tier: 4,
+            prompt,
+            max_tokens: 32,
+        };
+        call(entries[number % entries.len()], 4, arrival)
+    });
+    futures::future::join_all(calls).await;
+}
+
 async fn run(policy: &'static str, scenario: Scenario, seed: u64, run_ms: u64) -> Report {
     let mut system = start(policy).await;
+    warm_up(&system).await;
     let arrivals = arrivals(scenario, seed, run_ms);
     let offered = arrivals.clone();
     let entries: Vec<SocketAddr> = system.entries.iter().map(|(_, entry)| *entry).collect();
@@ -366,16 +395,30 @@
 /// started later.
 fn inversions(served: &[Served], starts: &BTreeMap<String, u64>) -> usize {
     let shed = served.iter().filter(|served| served.verdict == "not-run");
-    shed.filter(|shed| {
-        served.iter().any(|other| {
-            other.tier > shed.tier
-                && other.sent_ms + TRACE_SLACK_MS < shed.ended_ms
-                && starts
-                    .get(&other.id)
-                    .is_some_and(|at| *at > shed.ended_ms + TRACE_SLACK_MS)
-        })
-    })
-    .count()
+    let outlasts = |shed: &Served, other: &Served| {
+        other.tier > shed.tier
+            && other.sent_ms + TRACE_SLACK_MS < shed.ended_ms
+            && starts
+                .get(&other.id)
+                .is_some_and(|at| *at > shed.ended_ms + TRACE_SLACK_MS)
+    };
+    let inverted = shed.filter_map(|shed| {
+        let lower = served.iter().find(|other| outlasts(shed, other))?;
+        if std::env::var("GUAVACOVE_TRACE").is_ok() {
+            let after_ms = shed.ended_ms - shed.sent_ms;
+            let started_ms = starts[&lower.id] - shed.ended_ms;
+            println!(
+                "  tier {} refused as {} after {after_ms} ms; tier {} sent {} ms later was started \
+                 {started_ms} ms after that",
+                shed.tier,
+                shed.reason,
+                lower.tier,
+                lower.sent_ms.cast_signed() - shed.sent_ms.cast_signed(),
+            );
+        }
+        Some(())
+    });
+    inverted.count()
 }
 
 fn p95(sorted: &[u64]) -> u64 {
--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -149,8 +149,16 @@
         if self.positions.contains_key(&request) {
             return Vec::new();
         }
-        if !reserve.insist && self.expects_to_miss(&reserve) {
-            return vec![self.refuse(request, Reason::TooSlow)];
+        let late_ms = self
+            .expected_ms(&reserve)
+            .filter(|ms| *ms > reserve.deadline_ms);
+        if let Some(retry_after_ms) = late_ms.filter(|_| !reserve.insist) {
+            let reason = Reason::TooSlow;
+            return vec![Decision::Refuse {
+                request,
+                reason,
+                retry_after_ms,
+            }];
         }
         let mut decisions = Vec::new();
         if self.waiting.len() >= self.queue_requests {
@@ -439,13 +447,14 @@
         Some(holder)
     }
 
-    fn expects_to_miss(&self, reserve: &Reserve) -> bool {
-        let run_ms = self.pace.run_ms(reserve.answer_tokens());
+    /// How long a request is expected to take here; `None` before it is known.
+    fn expected_ms(&self, reserve: &Reserve) -> Option<u64> {
+        let run_ms = self.pace.run_ms(reserve.answer_tokens())?;
         let wait_ms = match self.holders.len() < self.capacity.slots {
             true => 0,
             false => self.duration_ms(self.ahead_tokens((reserve.tier, u64::MAX))),
         };
-        run_ms.is_some_and(|run_ms| wait_ms + run_ms > reserve.deadline_ms)
+        Some(wait_ms + run_ms)
     }
 
     fn duration_ms(&self, tokens: TokenCount) -> u64 {
--- a/src/entry/places.rs
+++ b/src/entry/places.rs
@@ -28,6 +28,8 @@
 const PREFIX_WAIT_MS: u64 = 250;
 /// How often a request that waits asks one more agent.
 const WIDEN_MS: u64 = 250;
+/// A request is shed only if every agent refused it within this time.
+const SWEEP_MS: u64 = 50;
 /// How long a wait that an agent reported is believed.
 const WAIT_BELIEVED_MS: u64 = 1000;
 /// The advice when to come back where no agent gave one.
@@ -94,6 +96,7 @@
             slow: Vec::new(),
             insists: false,
             shed: false,
+            refused: BTreeMap::new(),
             retry_after_ms: None,
         };
         search.ask_next();
@@ -142,9 +145,11 @@
     sender: mpsc::UnboundedSender<(usize, Event)>,
     events: EventReceiver,
     open: BTreeMap<usize, Exchange>,
-    slow: Vec<usize>,
+    /// Agents that expect to be late, with how long they expect to take.
+    slow: Vec<(u64, usize)>,
     insists: bool,
     shed: bool,
+    refused: BTreeMap<usize, Instant>,
     retry_after_ms: Option<u64>,
 }
 
@@ -152,7 +157,7 @@
     async fn run(mut self) -> Result<Place, NoPlace> {
         let mut patience = Duration::from_millis(HEDGE_MS);
         loop {
-            if self.open.is_empty() && !self.ask_next() {
+            if self.open.is_empty() && !self.ask_next() && !self.sweep() {
                 return Err(NoPlace::Refused(self.refusal()));
             }
             let left = Duration::from_millis(self.inbound.left_ms());
@@ -183,9 +188,31 @@
     /// Asks the next agent for a place; `false` if all have been asked.
     fn ask_next(&mut self) -> bool {
         let next = self.order.next().or_else(|| self.insist());
-        let Some(number) = next else {
-            return false;
-        };
+        if let Some(number) = next {
+            self.ask(number);
+        }
+        next.is_some()
+    }
+
+    /// Asks every agent again whose refusal is not of this moment, as a lower
+    /// tier may have found a place there since; `false` if there is none.
+    fn sweep(&mut self) -> bool {
+        let fresh = Duration::from_millis(SWEEP_MS);
+        let stale: Vec<usize> = self
+            .refused
+            .iter()
+            .filter(|(_, at)| at.elapsed() > fresh)
+            .map(|(number, _)| *number)
+            .collect();
+        self.insists = true;
+        for number in &stale {
+            self.refused.remove(number);
+            self.ask(*number);
+        }
+        !stale.is_empty()
+    }
+
+    fn ask(&mut self, number: usize) {
         let inbound = self.inbound;
         let reserve = ToAgent::Reserve(Reserve {
             request: inbound.id,
@@ -204,7 +231,6 @@
             .links
             .open(address, inbound.id, number, events, reserve);
         self.open.insert(number, exchange);
-        true
     }
 
     /// Once all agents have been asked and nothing is open, goes back to those
@@ -214,7 +240,9 @@
             return None;
         }
         self.insists = true;
-        self.order = std::mem::take(&mut self.slow).into_iter();
+        self.slow.sort_unstable();
+        let fastest_first = self.slow.drain(..).map(|(_, number)| number);
+        self.order = fastest_first.collect::<Vec<usize>>().into_iter();
         self.order.next()
     }
 
@@ -244,12 +272,13 @@
             }
             FromAgent::Refused {
                 reason: Reason::TooSlow,
+                retry_after_ms: expected_ms,
                 ..
             } => {
                 if let Some(mut exchange) = self.open.remove(&number) {
                     exchange.ended();
                 }
-                self.slow.push(number);
+                self.slow.push((expected_ms, number));
                 self.ask_next();
             }
             FromAgent::Refused {
@@ -261,7 +290,10 @@
                     exchange.ended();
                 }
                 self.places.note_wait(name, retry_after_ms);
-                self.shed |= matches!(reason, Reason::Shed | Reason::Displaced);
+                if matches!(reason, Reason::Shed | Reason::Displaced) {
+                    self.shed = true;
+                    self.refused.insert(number, Instant::now());
+                }
                 let known = self.retry_after_ms.unwrap_or(u64::MAX);
                 self.retry_after_ms = Some(known.min(retry_after_ms));
                 self.ask_next();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -81,7 +81,8 @@
         Queued { request: RequestId, ahead_tokens: TokenCount, wait_ms: u64 },
         /// A place is free: dispatch.
         Granted { request: RequestId, grant: GrantId },
-        /// The request has no place here. It did not run.
+        /// The request has no place here. It did not run. With `TooSlow`,
+        /// `retry_after_ms` is how long it would be expected to take here.
         Refused { request: RequestId, reason: Reason, retry_after_ms: u64 },
         /// The answer's status and headers.
         Head { request: RequestId, status: u16, headers: Vec<(String, Bytes)> },
