--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -38,6 +38,7 @@
     Status(StatusCommand),
     Drain(DrainCommand),
     Order(OrderCommand),
+    Explain(ExplainCommand),
     Dev(DevCommand),
     StandInEngine(StandInEngineCommand),
     StandInPlain(StandInPlainCommand),
@@ -154,6 +155,18 @@
     control: Vec<SocketAddr>,
 }
 
+/// Tell what happened to a request: where it waited, each attempt, its verdict.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct ExplainCommand {
+    /// the request's id, from the header guavacove-request-id
+    #[argh(positional)]
+    request: RequestId,
+    /// the admin address of an entry; may be repeated
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+}
+
 /// Run every role and stand-in targets in one process, for a first look.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "dev")]
@@ -272,6 +285,9 @@
                 undo,
             }) => commands::order(control, target, Order::Drain(!undo)).await,
             Self::Order(command) => command.run().await,
+            Self::Explain(ExplainCommand { request, entry }) => {
+                commands::explain(entry, request).await
+            }
             Self::Dev(command) => dev::run(command.port).await,
             Self::StandInEngine(command) => command.run().await,
             Self::StandInPlain(command) => command.run().await,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -15,13 +15,17 @@
     settings::SettingsError,
     units::*,
 };
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, client::conn::http1};
+use hyper_util::rt::TokioIo;
 use std::{
     fmt, fs,
     net::SocketAddr,
     path::{Path, PathBuf},
     time::Duration,
 };
-use tokio::time::Instant;
+use tokio::{net::TcpStream, time::Instant};
 
 /// How long one try may take.
 const CALL_TIMEOUT_MS: u64 = 2000;
@@ -292,6 +296,39 @@
     }
 }
 
+/// Prints what happened to a request, as the entries that were asked remember it.
+///
+/// # Errors
+/// Fails if none of them remembers it.
+pub async fn explain(entries: Vec<SocketAddr>, request: RequestId) -> Result<(), CommandError> {
+    if entries.is_empty() {
+        let message = "name the admin address of an entry with --entry ADDRESS".to_string();
+        return Err(CommandError::Invalid(message));
+    }
+    for entry in entries {
+        if let Some(course) = ask_entry(entry, request).await {
+            print!("{course}");
+            return Ok(());
+        }
+    }
+    let message = format!("no entry that was asked remembers the request {request}");
+    Err(CommandError::Failed(message))
+}
+
+async fn ask_entry(entry: SocketAddr, request: RequestId) -> Option<String> {
+    let stream = TcpStream::connect(entry).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let question = Request::get(format!("/requests/{request}"))
+        .header("host", entry.to_string())
+        .body(Full::<Bytes>::default())
+        .ok()?;
+    let response = sender.send_request(question).await.ok()?;
+    let found = response.status().is_success();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    found.then(|| String::from_utf8_lossy(&body).into_owned())
+}
+
 /// Changes the state that a target is to be in.
 ///
 /// # Errors
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -72,6 +72,7 @@
         failure_domain: "dev".into(),
         listen: loopback(port),
         control: control_addresses.clone(),
+        admin: Some(loopback(0)),
         balancer_delay_ms: 0,
         routing: RoutingPolicy::default(),
         telemetry: TelemetrySettings::default(),
@@ -102,7 +103,7 @@
     .map_err(CommandError::failed)?;
     agents.push(agent);
     put_in_force(&ControlClient::new(control_addresses.clone())).await?;
-    print_welcome(entry.address(), control_addresses[0]);
+    print_welcome(entry.address(), control_addresses[0], entry.admin_address());
     signals::stop_requested().await;
     println!("stopping");
     entry.shutdown().await;
@@ -148,7 +149,8 @@
     Ok(())
 }
 
-fn print_welcome(entry: SocketAddr, control: SocketAddr) {
+fn print_welcome(entry: SocketAddr, control: SocketAddr, admin: Option<SocketAddr>) {
+    let admin = admin.map_or(String::new(), |address| address.to_string());
     println!(
         "guavacove runs at http://{entry}; control RPC at {control}. Stop it with Ctrl-C.
 
@@ -167,6 +169,9 @@
          ledgerwell-example-key' -H 'Idempotency-Key: notice-1' -d 'a notice of appointment'
 
 The state:
-  guavacove status --control {control}"
+  guavacove status --control {control}
+
+What happened to a request (its id is in the header guavacove-request-id):
+  guavacove explain REQUEST-ID --entry {admin}"
     );
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod agent_links;
 mod body;
 mod claims;
+mod journal;
 mod limits;
 mod places;
 mod refusal;
--- a/src/entry/places.rs
+++ b/src/entry/places.rs
@@ -3,6 +3,7 @@
 use super::{
     agent_links::{AgentLinks, Event, Exchange},
     body::EventReceiver,
+    journal::{Journal, Step},
     refusal::Refusal,
     request::Inbound,
     routing::{self, Candidate, RoutingPolicy},
@@ -59,15 +60,17 @@
 pub struct Places {
     links: Arc<AgentLinks>,
     policy: RoutingPolicy,
+    journal: Arc<Journal>,
     waits: Mutex<HashMap<ProcessName, (u64, Instant)>>,
 }
 
 impl Places {
     /// Searches over an entry's links.
-    pub fn new(links: Arc<AgentLinks>, policy: RoutingPolicy) -> Self {
+    pub fn new(links: Arc<AgentLinks>, policy: RoutingPolicy, journal: Arc<Journal>) -> Self {
         Self {
             links,
             policy,
+            journal,
             waits: Mutex::default(),
         }
     }
@@ -173,6 +176,7 @@
                     }
                 }
                 Ok(Some((number, Event::Lost))) => {
+                    self.note(number, Step::Lost);
                     self.open.remove(&number);
                     self.ask_next();
                 }
@@ -231,6 +235,12 @@
             .links
             .open(address, inbound.id, number, events, reserve);
         self.open.insert(number, exchange);
+        self.note(number, Step::Asked);
+    }
+
+    fn note(&self, number: usize, step: impl FnOnce(ProcessName) -> Step) {
+        let name = self.agents[number].name.clone();
+        self.places.journal.note(self.inbound.id, step(name));
     }
 
     /// Once all agents have been asked and nothing is open, goes back to those
@@ -253,6 +263,25 @@
     /// Takes an agent's word; returns the grant if it gave one.
     fn take(&mut self, number: usize, message: FromAgent) -> Result<Option<GrantId>, NoPlace> {
         let name = &self.agents[number].name;
+        match &message {
+            FromAgent::Granted { .. } => self.note(number, Step::Granted),
+            FromAgent::Refused { reason, .. } => {
+                self.note(number, |agent| Step::Refused(agent, reason.clone()));
+            }
+            FromAgent::Queued {
+                ahead_tokens,
+                wait_ms,
+                ..
+            } => {
+                let (ahead_tokens, wait_ms) = (*ahead_tokens, *wait_ms);
+                self.note(number, |agent| Step::Queued {
+                    agent,
+                    ahead_tokens,
+                    wait_ms,
+                });
+            }
+            _ => {}
+        }
         match message {
             FromAgent::Granted { grant, .. } if self.open.contains_key(&number) => {
                 self.places.note_wait(name, 0);
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -4,6 +4,7 @@
     agent_links::AgentLinks,
     body::{AnswerBody, AnswerHead, Arrival, Arriving},
     claims::{Claimed, Claims, Replaced},
+    journal::{Journal, Step},
     limits::{EntryLimits, Permit, RetryBudget},
     places::{NoPlace, Place, Places},
     refusal::{Refusal, mark},
@@ -47,6 +48,8 @@
     view: Arc<ControlView>,
     claims: Claims,
     places: Places,
+    /// What happened to the latest requests.
+    pub journal: Arc<Journal>,
     limits: Arc<EntryLimits>,
     retries: RetryBudget,
     /// Work that goes on after its answer, such as settling claims.
@@ -65,13 +68,15 @@
         limits: Arc<EntryLimits>,
         policy: RoutingPolicy,
     ) -> Self {
-        let places = Places::new(Arc::clone(&links), policy);
+        let journal = Arc::new(Journal::default());
+        let places = Places::new(Arc::clone(&links), policy, Arc::clone(&journal));
         let claims = Claims::new(client, links);
         let background = TaskTracker::new();
         Self {
             view,
             claims,
             places,
+            journal,
             limits,
             retries: RetryBudget::default(),
             background,
@@ -81,14 +86,27 @@
     /// Serves one request.
     pub async fn serve(self: &Arc<Self>, inbound: Inbound) -> Response<AnswerBody> {
         let id = inbound.id;
+        self.journal.note(
+            id,
+            Step::Arrived {
+                customer: inbound.customer.name.clone(),
+                service: inbound.service.name.clone(),
+                tier: inbound.treatment.tier.name.clone(),
+                total_tokens: inbound.total_tokens,
+            },
+        );
         let (tier, arrived) = (inbound.treatment.tier.clone(), inbound.arrived);
         match self.run(inbound).await {
             Ok(response) => {
+                self.journal
+                    .note(id, Step::Answered(response.status().as_u16()));
                 let took_ms = arrived.elapsed().as_millis() as u64;
                 metrics::answered(&tier.name, took_ms <= tier.deadline_ms);
                 response
             }
             Err(refusal) => {
+                self.journal
+                    .note(id, Step::Ended(refusal.verdict, refusal.reason.clone()));
                 metrics::refused(&tier.name, refusal.verdict, &refusal.reason);
                 tracing::debug!("entry: refuses {id}: {refusal}");
                 refusal.into_response(id)
@@ -101,7 +119,7 @@
         let mut replaces = None;
         if inbound.needs_claim() {
             match self.claims.look_up(&inbound, &self.view.load()).await? {
-                Some(Claimed::Answered(answer)) => return Ok(replay(inbound.id, answer)),
+                Some(Claimed::Answered(answer)) => return Ok(self.replay(inbound.id, answer)),
                 Some(Claimed::Again(holder)) => replaces = Some(holder),
                 Some(Claimed::Dispatch) | None => {}
             }
@@ -128,8 +146,11 @@
             };
             if inbound.needs_claim() {
                 match self.claim(&inbound, attempt, &place, replaces).await? {
-                    Claimed::Dispatch => own_claim = Some((inbound.id, attempt)),
-                    Claimed::Answered(answer) => return Ok(replay(inbound.id, answer)),
+                    Claimed::Dispatch => {
+                        self.journal.note(inbound.id, Step::Claimed(attempt));
+                        own_claim = Some((inbound.id, attempt));
+                    }
+                    Claimed::Answered(answer) => return Ok(self.replay(inbound.id, answer)),
                     Claimed::Again(holder) => {
                         replaces = Some(holder);
                         continue;
@@ -143,10 +164,14 @@
             {
                 Ok(response) => return Ok(response),
                 Err(Failed(Verdict::NotRun, reason)) => {
+                    let step = Step::Failed(attempt, Verdict::NotRun, reason.clone());
+                    self.journal.note(inbound.id, step);
                     let message = "the request could not be dispatched";
                     last = Refusal::not_run(reason, message).retry_after(RETRY_AFTER_MS);
                 }
                 Err(Failed(verdict, reason)) => {
+                    let step = Step::Failed(attempt, verdict, reason.clone());
+                    self.journal.note(inbound.id, step);
                     let message = "the request was dispatched and its answer did not come whole";
                     last = Refusal {
                         verdict,
@@ -171,6 +196,11 @@
         Err(last)
     }
 
+    fn replay(&self, request: RequestId, answer: RecordedAnswer) -> Response<AnswerBody> {
+        self.journal.note(request, Step::Replayed);
+        replay(request, answer)
+    }
+
     /// Finds a place; follows the document if an agent has a newer one.
     async fn place(&self, inbound: &mut Inbound) -> Result<Place, Refusal> {
         loop {
@@ -239,7 +269,7 @@
             mut exchange,
             events,
             grant,
-            ..
+            member,
         } = place;
         let request = inbound.id;
         let head = Box::new(Dispatched {
@@ -251,6 +281,8 @@
             keep_outcome: claim.is_some(),
             traceparent: telemetry::traceparent(&tracing::Span::current()),
         });
+        let step = Step::Dispatched(attempt, member.name);
+        self.journal.note(request, step);
         exchange.dispatch(
             grant,
             ToAgent::Dispatch {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -58,6 +58,7 @@
     shared: Arc<Shared>,
     name: ProcessName,
     address: SocketAddr,
+    admin_address: Option<SocketAddr>,
     balancer_delay: Duration,
     stop_accepting: oneshot::Sender<()>,
     accepting: JoinHandle<()>,
@@ -105,6 +106,10 @@
             scheduler,
             stopping,
         });
+        let admin_address = match settings.admin {
+            Some(address) => Some(serve_admin(address, Arc::clone(&shared)).await?),
+            None => None,
+        };
         let (stop_accepting, stopped) = oneshot::channel();
         let accepting = tokio::spawn(accept(listener, Arc::clone(&shared), stopped));
         tracing::info!("entry: {} listens at {address}", settings.name);
@@ -114,6 +119,7 @@
             shared,
             name,
             address,
+            admin_address,
             balancer_delay,
             stop_accepting,
             accepting,
@@ -125,6 +131,11 @@
         self.address
     }
 
+    /// Where operators ask what happened to a request.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin_address
+    }
+
     /// Turns unready, stays open for the balancer, then finishes every request.
     pub async fn shutdown(self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
@@ -139,6 +150,28 @@
     }
 }
 
+/// Serves `GET /requests/ID` to operators.
+async fn serve_admin(
+    address: SocketAddr,
+    shared: Arc<Shared>,
+) -> Result<SocketAddr, EntryStartError> {
+    let failed = |error| EntryStartError { address, error };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let shared = Arc::clone(&shared);
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = shared.explain(request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let http = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(http.serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    Ok(bound)
+}
+
 /// Serves connections until told to stop, then finishes those that are open.
 async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: oneshot::Receiver<()>) {
     let graceful = GracefulShutdown::new();
@@ -180,6 +213,20 @@
         }
     }
 
+    fn explain(&self, path: &str) -> Response<AnswerBody> {
+        let request = path
+            .strip_prefix("/requests/")
+            .and_then(|id| id.parse().ok());
+        let course = request.and_then(|request| self.scheduler.journal.explain(request));
+        match course {
+            Some(course) => Response::new(AnswerBody::whole(course)),
+            None => plain(
+                StatusCode::NOT_FOUND,
+                "this entry does not remember that request\n",
+            ),
+        }
+    }
+
     fn readiness(&self) -> Response<AnswerBody> {
         match (
             self.stopping.load(Ordering::Relaxed),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -30,6 +30,9 @@
         pub listen: SocketAddr,
         /// The RPC addresses of the control instances.
         pub control: Vec<SocketAddr>,
+        /// Where operators ask what happened to a request; nowhere if unset.
+        #[serde(default)]
+        pub admin: Option<SocketAddr>,
         /// How long it stays open after it turns unready, for the balancer.
         #[serde(default = "default_balancer_delay_ms")]
         pub balancer_delay_ms: u64,
--- a/tests/checks.rs
+++ b/tests/checks.rs
@@ -75,7 +75,8 @@
 #[test]
 fn every_command_has_help() {
     let commands = [
-        "entry", "agent", "control", "check", "apply", "get", "status", "drain", "order", "dev",
+        "entry", "agent", "control", "check", "apply", "get", "status", "drain", "order",
+        "explain", "dev",
     ];
     let (code, overview) = run(&["--help"]);
     assert_eq!(code, 0);
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -42,6 +42,8 @@
 pub struct System {
     pub controls: Vec<Control>,
     pub entries: Vec<(Process, SocketAddr)>,
+    /// Where each entry explains requests.
+    pub admins: Vec<SocketAddr>,
     pub targets: Vec<Target>,
     pub folder: tempfile::TempDir,
     pub control_addresses: Vec<SocketAddr>,
@@ -243,6 +245,7 @@
         let mut system = System {
             controls: Vec::new(),
             entries: Vec::new(),
+            admins: Vec::new(),
             targets: Vec::new(),
             folder,
             control_addresses: Vec::new(),
@@ -374,11 +377,12 @@
 
 fn start_entry(system: &mut System, position: usize, routing: &str, collector: Option<&str>) {
     let name = format!("entry-{}", position + 1);
-    let listen = free_address();
+    let (listen, admin) = (free_address(), free_address());
     let settings = json!({
             "name": name,
             "failure_domain": failure_domain(position),
             "listen": listen,
+            "admin": admin,
             "control": system.control_addresses,
             "balancer_delay_ms": 300,
             "routing": routing,
@@ -386,4 +390,5 @@
     });
     let process = spawn(system, "entry", &name, &settings);
     system.entries.push((process, listen));
+    system.admins.push(admin);
 }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -114,7 +114,35 @@
     assert!(after.is_whole_stream(2));
 }
 
+async fn requests_are_explained() {
+    let system = two_entries().await;
+    let filed = system.caller(0, LEDGERWELL).file("explained").await;
+    let again = system.caller(0, LEDGERWELL).file("explained").await;
+    let admin = system.admins[0].to_string();
+    let explain = |answer: &Answer| {
+        let output = guavacove(&["explain", answer.id(), "--entry", &admin]);
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    let course = explain(&filed);
+    for words in [
+        "arrived from ledgerwell for filings, tier draft",
+        "asked filings-1 for a place",
+        "filings-1 granted a place first",
+        "attempt 1: the claim was committed",
+        "attempt 1: dispatched to filings-1",
+        "status 201 (ran)",
+    ] {
+        assert!(course.contains(words), "{words:?} is missing in:\n{course}");
+    }
+    assert!(explain(&again).contains("an earlier answer was on record"));
+    let unknown = "0".repeat(32);
+    let output = guavacove(&["explain", &unknown, "--entry", &admin]);
+    assert_eq!(output.status.code(), Some(1));
+}
+
 cases! {
+    a_request_is_explained => requests_are_explained();
     streams_and_filings_go_through_either_entry => either_entry_serves_streams_and_filings();
     a_document_applied_is_in_force_at_every_process => a_document_is_in_force_everywhere();
     concurrent_streams_keep_their_bytes => three_hundred_streams_keep_their_bytes();
