Split what grew large, and keep accepting after a passing error

Change: elections and replication, the leader's work, the agent's dispatcher and the stand-in's streams have files of their own; accepting is one function that retries. Conclusion: no behaviour changed but the retries.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod announcement;
 mod answer;
+mod dispatcher;
 mod orders;
 mod pace;
 mod server;
--- /dev/null
+++ b/src/consensus/core/election.rs
@@ -0,0 +1,181 @@
+//! Elections: pre-votes, votes, and handing over.
+
+use super::*;
+
+impl<R: Rules> Core<R> {
+    /// Whether a vote now could end a lease that this replica helped to give.
+    pub(super) fn heard_lately(&self, now_ms: u64) -> bool {
+        let leads = matches!(&self.role, Role::Leader(leadership)
+      if self.lease_end_ms(leadership, now_ms) > now_ms);
+        R::votes_wait_for_lease() && (leads || now_ms < self.contact_ms + self.timing.election_ms)
+    }
+
+    pub(super) fn heed_leader(&mut self, leader: ReplicaId, now_ms: u64) {
+        self.contact_ms = now_ms;
+        self.follow(Some(leader), now_ms);
+    }
+
+    pub(super) fn follow(&mut self, leader: Option<ReplicaId>, now_ms: u64) {
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.schedule_election(now_ms);
+    }
+
+    pub(super) fn schedule_election(&mut self, now_ms: u64) {
+        let seed =
+            self.id.disk ^ self.hard.term.0.rotate_left(32) ^ (u64::from(self.id.number) << 56);
+        let hash = seed
+            .wrapping_add(now_ms)
+            .wrapping_mul(0x9E37_79B9_7F4A_7C15)
+            >> 33;
+        let delay_ms = self.timing.election_ms + hash % (self.timing.spread_ms + 1);
+        self.election_due_ms = now_ms + delay_ms;
+    }
+
+    pub(super) fn pre_campaign(&mut self, now_ms: u64, effects: &mut Effects) {
+        self.leader = None;
+        self.schedule_election(now_ms);
+        if !self.membership().voters.contains(&self.id) {
+            self.role = Role::Follower;
+            return;
+        }
+        self.role = Role::PreCandidate(BTreeSet::from([self.id]));
+        let (term, last_index) = (self.hard.term.next(), self.log.last_index());
+        let last_term = self.log.last_term();
+        self.send_to_voters(
+            &Message::PreVote {
+                term,
+                last_index,
+                last_term,
+            },
+            effects,
+        );
+        if self.is_quorum(&BTreeSet::from([self.id])) {
+            self.campaign(now_ms, false, effects);
+        }
+    }
+
+    pub(super) fn campaign(&mut self, now_ms: u64, hand_over: bool, effects: &mut Effects) {
+        if !self.membership().voters.contains(&self.id) {
+            return;
+        }
+        self.hard = HardState {
+            term: self.hard.term.next(),
+            voted_for: Some(self.id),
+        };
+        self.leader = None;
+        self.role = Role::Candidate(BTreeSet::from([self.id]));
+        self.schedule_election(now_ms);
+        let (term, last_index) = (self.hard.term, self.log.last_index());
+        let last_term = self.log.last_term();
+        self.send_to_voters(
+            &Message::Vote {
+                term,
+                last_index,
+                last_term,
+                hand_over,
+            },
+            effects,
+        );
+        if self.is_quorum(&BTreeSet::from([self.id])) {
+            self.lead(now_ms, effects);
+        }
+    }
+
+    pub(super) fn count_pre_vote(
+        &mut self,
+        now_ms: u64,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        effects: &mut Effects,
+    ) {
+        let wanted = self.hard.term.next();
+        let elected = match &mut self.role {
+            Role::PreCandidate(votes) if granted && term == wanted => {
+                votes.insert(from);
+                Some(votes.clone())
+            }
+            _ => None,
+        };
+        if elected.is_some_and(|votes| self.is_quorum(&votes)) {
+            self.campaign(now_ms, false, effects);
+        }
+    }
+
+    pub(super) fn count_vote(
+        &mut self,
+        now_ms: u64,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        effects: &mut Effects,
+    ) {
+        let current = self.hard.term;
+        let elected = match &mut self.role {
+            Role::Candidate(votes) if granted && term == current => {
+                votes.insert(from);
+                Some(votes.clone())
+            }
+            _ => None,
+        };
+        if elected.is_some_and(|votes| self.is_quorum(&votes)) {
+            self.lead(now_ms, effects);
+        }
+    }
+
+    pub(super) fn lead(&mut self, now_ms: u64, effects: &mut Effects) {
+        let next_index = self.log.last_index().next();
+        let progress = self.membership().others(self.id).into_iter().map(|id| {
+            (
+                id,
+                Progress {
+                    next_index,
+                    ..Progress::default()
+                },
+            )
+        });
+        let progress = progress.collect();
+        self.role = Role::Leader(Leadership {
+            progress,
+            sent_ms: now_ms,
+            since_ms: now_ms,
+        });
+        self.leader = Some(self.id);
+        self.append_own(vec![Payload::Noop], effects);
+        self.replicate(now_ms, true, effects);
+        self.advance_commit();
+    }
+
+    /// Asks the most advanced voter to campaign, and gives up the lease for good
+    /// in this term, as the request may arrive at any time.
+    pub(super) fn hand_over(&mut self, now_ms: u64, effects: &mut Effects) {
+        let term = self.hard.term;
+        let voters = &self.membership().voters;
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let others = leadership
+            .progress
+            .iter()
+            .filter(|(id, _)| voters.contains(id));
+        let best =
+            others.max_by_key(|(_, progress)| (progress.match_index, progress.acknowledged_ms));
+        effects
+            .messages
+            .extend(best.map(|(id, _)| (*id, Message::CampaignNow { term })));
+        self.follow(None, now_ms);
+    }
+
+    pub(super) fn is_quorum(&self, votes: &BTreeSet<ReplicaId>) -> bool {
+        let voters = &self.membership().voters;
+        votes.intersection(voters).count() > voters.len() / 2
+    }
+
+    pub(super) fn send_to_voters(&self, message: &Message, effects: &mut Effects) {
+        let others = self.membership().voters.iter().filter(|id| **id != self.id);
+        effects
+            .messages
+            .extend(others.map(|id| (*id, message.clone())));
+    }
+}
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -2,6 +2,7 @@
 
 use super::replica::ReplicaMessage;
 use crate::{
+    accept,
     consensus::{Message, ReplicaId, Snapshot},
     derives::record,
     link,
@@ -78,8 +79,9 @@
 }
 
 /// Accepts links of other instances and passes their messages to the replica.
-pub async fn accept(listener: TcpListener, replica: ActorRef<ReplicaMessage>) {
-    while let Ok((stream, _)) = listener.accept().await {
+pub async fn serve(listener: TcpListener, replica: ActorRef<ReplicaMessage>) {
+    loop {
+        let stream = accept::accept(&listener, "control").await;
         let replica = replica.clone();
         tokio::spawn(async move {
             let (_sender, mut receiver) = link::open::<PeerMessage, PeerMessage>(stream);
--- /dev/null
+++ b/src/control/replica/leader.rs
@@ -0,0 +1,217 @@
+//! What a replica does while it leads: members, repairs, limits, answers.
+
+use super::*;
+
+impl ReplicaState {
+    /// What a leader does at each tick: members, replicas, old claims.
+    pub(super) fn lead(&mut self) -> Result<(), ActorProcessingErr> {
+        let now_ms = self.now_ms();
+        if self.led_term != self.core.term() {
+            self.led_term = self.core.term();
+            self.leader_since_ms = now_ms;
+            self.settled = false;
+            self.members = Members::default();
+            self.limits = Limits::new(now_ms);
+            tracing::info!("control: leads in term {}", self.led_term);
+        }
+        if self.leased().is_err() {
+            self.fail_waiting();
+            return Ok(());
+        }
+        let gone = self.members.expire(now_ms);
+        for name in &gone {
+            tracing::warn!("control: {name} was silent for {MEMBER_LEASE_MS} ms and is out");
+        }
+        let settles = !self.settled && now_ms > self.leader_since_ms + SETTLING_MS;
+        self.settled |= settles;
+        if settles || !gone.is_empty() {
+            self.answer_waiting();
+        }
+        self.answer_late(now_ms);
+        self.repair_replicas(now_ms)?;
+        if now_ms >= self.expired_ms + CLAIM_EXPIRY_MS {
+            self.expired_ms = now_ms;
+            let before_unix_ms = unix_ms().saturating_sub(CLAIM_RETENTION_MS);
+            let command = postcard::to_stdvec(&Command::ExpireClaims { before_unix_ms })?;
+            self.step(Input::Propose(vec![command.into()]))?;
+        }
+        Ok(())
+    }
+
+    /// Replaces a replica whose disk is new, one membership change at a time.
+    pub(super) fn repair_replicas(&mut self, now_ms: u64) -> Result<(), ActorProcessingErr> {
+        let membership = self.core.membership();
+        let replaced = |old: &ReplicaId| {
+            self.present
+                .get(&old.number)
+                .is_some_and(|present| present.id != *old && now_ms < present.heard_ms + PRESENT_MS)
+        };
+        let successor_votes = |old: &ReplicaId| {
+            let successor = self.present.get(&old.number).map(|present| present.id);
+            successor.is_some_and(|id| membership.voters.contains(&id))
+        };
+        let newcomers = self
+            .present
+            .values()
+            .filter(|present| now_ms < present.heard_ms + PRESENT_MS);
+        let newcomer = newcomers
+            .map(|present| present.id)
+            .find(|id| !membership.contains(*id));
+        let stale_learner = membership.learners.iter().find(|id| replaced(id)).copied();
+        let learner = membership.learners.first().copied();
+        let old_voter = membership
+            .voters
+            .iter()
+            .find(|id| replaced(id) && successor_votes(id))
+            .copied();
+        let change = match (old_voter, stale_learner, newcomer, learner) {
+            (Some(id), ..) | (None, Some(id), ..) => MembershipChange::Remove(id),
+            (None, None, Some(id), _) => MembershipChange::AddLearner(id),
+            (None, None, None, Some(id)) => MembershipChange::Promote(id),
+            (None, None, None, None) => return Ok(()),
+        };
+        if self.step(Input::Change(change.clone()))?.is_none() {
+            tracing::info!("control: changes the replicas: {change:?}");
+        }
+        Ok(())
+    }
+
+    pub(super) fn fail_waiting(&mut self) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            let _ = waiting.port.send(Err(self.not_leader()));
+        }
+    }
+
+    pub(super) fn sync(&mut self, request: SyncRequest, port: Port<SyncReply>) {
+        if let Err(error) = self.leased() {
+            let _ = port.send(Err(error));
+            return;
+        }
+        let now_ms = self.now_ms();
+        if self.led_term != self.core.term() {
+            let _ = port.send(Err(ControlError::Unresolved));
+            return;
+        }
+        let changed = match request.goodbye {
+            true => {
+                self.members.remove(&request.member.name);
+                true
+            }
+            false => self
+                .members
+                .renew(request.member.clone(), request.document_version, now_ms),
+        };
+        let (reply, is_news) = self.reply_to(&request);
+        if is_news || request.wait_ms == 0 {
+            let _ = port.send(Ok(reply));
+        } else {
+            let until_ms = now_ms + request.wait_ms;
+            self.waiting.push(Waiting {
+                request,
+                port,
+                until_ms,
+            });
+        }
+        if changed {
+            self.answer_waiting();
+        }
+    }
+
+    /// Hands out parts of the contracts in the document in force.
+    pub(super) fn limit(&mut self, entry: &ProcessName, wants: &[LimitWant]) -> Vec<LimitGrant> {
+        let (now_ms, document) = (self.now_ms(), self.control.document());
+        if self.policy.version != document.version {
+            self.policy = Policy::compile(document.version, &document.yaml).unwrap_or_default();
+        }
+        let (policy, limits) = (&self.policy, &mut self.limits);
+        let grants = wants.iter().filter_map(|want| {
+            let contract = policy.contract(&want.customer)?;
+            Some(limits.grant(entry, want, contract, now_ms))
+        });
+        grants.collect()
+    }
+
+    /// What a process lacks, and whether it lacks anything.
+    pub(super) fn reply_to(&self, request: &SyncRequest) -> (SyncReply, bool) {
+        let document = self.control.document();
+        let document = (document.version != request.document_version).then(|| document.clone());
+        let fencing = FencingNumber(self.core.term().0);
+        let epoch = (fencing, self.settled);
+        let members = match request.members_wanted {
+            true => self.members.changes(request.members_seen.as_ref(), epoch),
+            false => None,
+        };
+        let target = TargetName(request.member.name.0.clone());
+        let orders = self
+            .control
+            .orders()
+            .get(&target)
+            .cloned()
+            .unwrap_or_default();
+        let is_news = document.is_some() || members.is_some() || orders != request.orders;
+        (
+            SyncReply {
+                fencing,
+                document,
+                members,
+                orders,
+            },
+            is_news,
+        )
+    }
+
+    /// Answers those that wait and now lack something.
+    pub(super) fn answer_waiting(&mut self) {
+        if self.leased().is_err() {
+            return;
+        }
+        for waiting in std::mem::take(&mut self.waiting) {
+            match self.reply_to(&waiting.request) {
+                (reply, true) => drop(waiting.port.send(Ok(reply))),
+                (_, false) => self.waiting.push(waiting),
+            }
+        }
+    }
+
+    /// Answers those that have waited long enough.
+    pub(super) fn answer_late(&mut self, now_ms: u64) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            match waiting.until_ms <= now_ms {
+                true => {
+                    let (reply, _) = self.reply_to(&waiting.request);
+                    let _ = waiting.port.send(Ok(reply));
+                }
+                false => self.waiting.push(waiting),
+            }
+        }
+    }
+
+    pub(super) fn status(&self) -> StatusReply {
+        let membership = self.core.membership();
+        let matches = self.core.match_indexes();
+        let own_index = self.core.log().last_index();
+        let replicas = membership
+            .voters
+            .iter()
+            .chain(&membership.learners)
+            .map(|id| {
+                let match_index = matches.get(id).copied().unwrap_or(own_index).0;
+                let voter = membership.voters.contains(id);
+                ReplicaStatus {
+                    id: id.to_string(),
+                    voter,
+                    match_index,
+                }
+            });
+        StatusReply {
+            leader: self.core.id().to_string(),
+            term: FencingNumber(self.core.term().0),
+            commit_index: self.core.commit_index().0,
+            replicas: replicas.collect(),
+            document_version: self.control.document().version,
+            claims: self.control.claim_count() as u64,
+            orders: self.control.orders().clone().into_iter().collect(),
+            processes: self.members.versions(),
+        }
+    }
+}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -88,7 +88,7 @@
         let replica = ready
             .await
             .map_err(|_| ractor::SpawnErr::StartupFailed("its thread ended".into()))??;
-        tokio::spawn(peers::accept(peer_listener, replica.clone()));
+        tokio::spawn(peers::serve(peer_listener, replica.clone()));
         let config = ServerConfig::builder()
             .max_request_body_size(RPC_LIMIT_BYTES)
             .max_response_body_size(RPC_LIMIT_BYTES)
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -9,6 +9,7 @@
     scheduler::Scheduler,
 };
 use crate::{
+    accept,
     control::{
         ControlClient,
         members::{Member, ProcessRole},
@@ -111,7 +112,7 @@
             None => None,
         };
         let (stop_accepting, stopped) = oneshot::channel();
-        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared), stopped));
+        let accepting = tokio::spawn(serve(listener, Arc::clone(&shared), stopped));
         tracing::info!("entry: {} listens at {address}", settings.name);
         let balancer_delay = Duration::from_millis(settings.balancer_delay_ms);
         let name = settings.name.clone();
@@ -159,7 +160,8 @@
     let listener = TcpListener::bind(address).await.map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        loop {
+            let stream = accept::accept(&listener, "entry").await;
             let shared = Arc::clone(&shared);
             let service = service_fn(move |request: Request<Incoming>| {
                 let response = shared.explain(request.uri().path());
@@ -173,19 +175,12 @@
 }
 
 /// Serves connections until told to stop, then finishes those that are open.
-async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: oneshot::Receiver<()>) {
+async fn serve(listener: TcpListener, shared: Arc<Shared>, mut stopped: oneshot::Receiver<()>) {
     let graceful = GracefulShutdown::new();
     let builder = auto::Builder::new(TokioExecutor::new());
     loop {
         let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    tracing::warn!("entry: cannot accept: {error}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                    continue;
-                }
-            },
+            stream = accept::accept(&listener, "entry") => stream,
             _ = &mut stopped => break,
         };
         let _ = stream.set_nodelay(true);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod derives;
 
+pub mod accept;
 pub mod agent;
 pub mod arguments;
 pub mod commands;
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -2,19 +2,17 @@
 //! rate, token memory, a prefix cache, and streams that can be cancelled and
 //! resumed. It lets requests in as they arrive and knows no priorities.
 
+mod stream;
+
+use self::stream::{EngineBody, EngineStream, follow};
 use super::{Announcer, PrefixCache, json};
 use crate::{
     agent::{Announcement, REQUEST_ID},
     units::*,
 };
 use bytes::Bytes;
-use futures::{StreamExt, stream};
-use http_body_util::{BodyExt, Either, Full, StreamBody};
-use hyper::{
-    Method, Request, Response, StatusCode,
-    body::{Frame, Incoming},
-    service::service_fn,
-};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use std::{
@@ -28,7 +26,7 @@
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
-use tokio::{net::TcpListener, sync::Notify};
+use tokio::net::TcpListener;
 
 /// How often decoded tokens are emitted at the most.
 const EMIT_INTERVAL_MS: u64 = 2;
@@ -85,19 +83,6 @@
     format!(" {head}.{position}")
 }
 
-#[derive(Default)]
-struct StreamState {
-    bytes: Vec<u8>,
-    done: bool,
-    cancelled: bool,
-}
-
-#[derive(Default)]
-struct EngineStream {
-    state: Mutex<StreamState>,
-    changed: Notify,
-}
-
 #[derive(Default)]
 struct Counters {
     prompt_tokens: AtomicU64,
@@ -130,10 +115,6 @@
     announcer: Option<Announcer>,
 }
 
-type EngineBody = Either<Full<Bytes>, EngineStreamBody>;
-type EngineStreamBody =
-    StreamBody<futures::stream::BoxStream<'static, Result<Frame<Bytes>, io::Error>>>;
-
 struct Job {
     id: String,
     prompt: Vec<u8>,
@@ -176,7 +157,7 @@
             counters: Counters::default(),
             settings,
         });
-        tokio::spawn(accept(listener, Arc::clone(&shared)));
+        tokio::spawn(serve(listener, Arc::clone(&shared)));
         Ok(Self {
             shared,
             address,
@@ -202,8 +183,9 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
+async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let stream = crate::accept::accept(&listener, "stand-in").await;
         let _ = stream.set_nodelay(true);
         let shared = Arc::clone(&shared);
         let service = service_fn(move |request| {
@@ -468,8 +450,7 @@
     fn cancel(&self, id: &str) -> Response<Full<Bytes>> {
         match self.find(id) {
             Some(stream) => {
-                stream.state.lock().expect("no holder panics").cancelled = true;
-                stream.changed.notify_waiters();
+                stream.cancel();
                 json(StatusCode::OK, &json!({}))
             }
             None => json(StatusCode::NOT_FOUND, &json!({"error": "unknown id"})),
@@ -500,56 +481,3 @@
     });
     json!({"id": job.id, "choices": [choice], "usage": usage}).to_string()
 }
-
-impl EngineStream {
-    /// Appends bytes; returns whether the stream is cancelled.
-    fn append(&self, bytes: &[u8]) -> bool {
-        let mut state = self.state.lock().expect("no holder panics");
-        state.bytes.extend_from_slice(bytes);
-        self.changed.notify_waiters();
-        state.cancelled
-    }
-
-    fn finish(&self) {
-        self.state.lock().expect("no holder panics").done = true;
-        self.changed.notify_waiters();
-    }
-
-    /// The bytes after an offset; `None` at the end.
-    async fn after(&self, offset: usize) -> Option<Bytes> {
-        loop {
-            let changed = self.changed.notified();
-            {
-                let state = self.state.lock().expect("no holder panics");
-                if state.bytes.len() > offset {
-                    return Some(Bytes::copy_from_slice(&state.bytes[offset..]));
-                }
-                if state.done || state.cancelled {
-                    return None;
-                }
-            }
-            changed.await;
-        }
-    }
-
-    async fn whole(&self) -> Vec<u8> {
-        let mut bytes = Vec::new();
-        while let Some(more) = self.after(bytes.len()).await {
-            bytes.extend_from_slice(&more);
-        }
-        bytes
-    }
-}
-
-/// A response that follows a stream from an offset on.
-fn follow(stream: Arc<EngineStream>, offset: usize) -> Response<EngineBody> {
-    let frames = stream::unfold((stream, offset), |(stream, offset)| async move {
-        let bytes = stream.after(offset).await?;
-        let offset = offset + bytes.len();
-        Some((Ok(Frame::data(bytes)), (stream, offset)))
-    });
-    let mut response = Response::new(Either::Right(StreamBody::new(frames.boxed())));
-    let events = hyper::header::HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert("content-type", events);
-    response
-}
--- /dev/null
+++ b/src/standin/engine/stream.rs
@@ -0,0 +1,89 @@
+//! A stand-in engine's stream: kept whole, so that it can be resumed.
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{Either, Full, StreamBody};
+use hyper::{Response, body::Frame};
+use std::{
+    io,
+    sync::{Arc, Mutex},
+};
+use tokio::sync::Notify;
+
+/// The body of an answer.
+pub type EngineBody = Either<Full<Bytes>, EngineStreamBody>;
+/// The body of an answer.
+pub type EngineStreamBody =
+    StreamBody<futures::stream::BoxStream<'static, Result<Frame<Bytes>, io::Error>>>;
+
+#[derive(Default)]
+struct StreamState {
+    bytes: Vec<u8>,
+    done: bool,
+    cancelled: bool,
+}
+
+#[derive(Default)]
+pub struct EngineStream {
+    state: Mutex<StreamState>,
+    changed: Notify,
+}
+
+impl EngineStream {
+    /// Appends bytes; returns whether the stream is cancelled.
+    pub(super) fn append(&self, bytes: &[u8]) -> bool {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.bytes.extend_from_slice(bytes);
+        self.changed.notify_waiters();
+        state.cancelled
+    }
+
+    /// Tells the producer to stop.
+    pub(super) fn cancel(&self) {
+        self.state.lock().expect("no holder panics").cancelled = true;
+        self.changed.notify_waiters();
+    }
+
+    pub(super) fn finish(&self) {
+        self.state.lock().expect("no holder panics").done = true;
+        self.changed.notify_waiters();
+    }
+
+    /// The bytes after an offset; `None` at the end.
+    pub(super) async fn after(&self, offset: usize) -> Option<Bytes> {
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.state.lock().expect("no holder panics");
+                if state.bytes.len() > offset {
+                    return Some(Bytes::copy_from_slice(&state.bytes[offset..]));
+                }
+                if state.done || state.cancelled {
+                    return None;
+                }
+            }
+            changed.await;
+        }
+    }
+
+    pub(super) async fn whole(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        while let Some(more) = self.after(bytes.len()).await {
+            bytes.extend_from_slice(&more);
+        }
+        bytes
+    }
+}
+
+/// A response that follows a stream from an offset on.
+pub fn follow(stream: Arc<EngineStream>, offset: usize) -> Response<EngineBody> {
+    let frames = stream::unfold((stream, offset), |(stream, offset)| async move {
+        let bytes = stream.after(offset).await?;
+        let offset = offset + bytes.len();
+        Some((Ok(Frame::data(bytes)), (stream, offset)))
+    });
+    let mut response = Response::new(Either::Right(StreamBody::new(frames.boxed())));
+    let events = hyper::header::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert("content-type", events);
+    response
+}
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -84,7 +84,7 @@
             break_every,
             ..Shared::default()
         });
-        tokio::spawn(accept(listener, Arc::clone(&shared)));
+        tokio::spawn(serve(listener, Arc::clone(&shared)));
         Ok(Self {
             shared,
             address,
@@ -110,8 +110,9 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
+async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let stream = crate::accept::accept(&listener, "stand-in").await;
         let shared = Arc::clone(&shared);
         let service = service_fn(move |request| {
             let shared = Arc::clone(&shared);
