--- a/benches/measures.rs
+++ b/benches/measures.rs
@@ -254,8 +254,9 @@
     println!("Claims, synced by a quorum of three:");
     let system = System::builder().entries(1).start().await;
     let leader = system.leader();
+    let (mut claims, idle_kb) = (0, system.controls[leader].process.resident_kb());
     for callers in [1_usize, 8, 64, 256] {
-        let each = 4000 / callers.max(8);
+        let each = 8000 / callers.max(8);
         let leader_ms = system.controls[leader].process.processor_ms();
         let started = Instant::now();
         let address = system.control_addresses[leader];
@@ -289,7 +290,11 @@
         let each_us = leader_ms as f64 * 1000.0 / count;
         quantiles(&format!("{callers} at a time: {rate:.0} a second"), &all);
         println!("    leader: {each_us:.0} us of processor time each");
+        claims += callers * each;
     }
+    let grown_kb = system.controls[leader].process.resident_kb() - idle_kb;
+    let bytes = grown_kb as f64 * 1024.0 / claims as f64;
+    println!("  {claims} claims kept: {bytes:.0} bytes each");
 }
 
 /// Members as light stand-ins: each renews as a process does.
