Hold the ports of a test process against others

Cause: a trial beside another test run stopped with an entry that was not ready in 15 s; the ranges of ports of two test processes can meet, and a port was free again between its choice and its use. The trial's logs were gone, so this is the likely cause, not a seen one. Ruled out: nothing further. Change: each port is held by a UDP socket as long as the test process lives. Before: one start in two test processes side by side failed. After: not seen since. Conclusion: watch for it.

--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -5,10 +5,13 @@
     unistd::Pid,
 };
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::{
+        Mutex,
+        atomic::{AtomicU16, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -16,14 +19,20 @@
 const FIRST_PORT: u16 = 10_000;
 const PORTS: u16 = 20_000;
 
-/// A loopback address below the ephemeral ports that nothing listens at.
+/// UDP sockets that hold this process's ports against other test processes.
+static HELD: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
+
+/// A loopback address below the ephemeral ports that nothing listens at, and
+/// that no other test process is given.
 pub fn free_address() -> SocketAddr {
     let start = (std::process::id() % 97) as u16 * 199;
     loop {
         let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (start + offset) % PORTS;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        let held = UdpSocket::bind(address);
+        if let (Ok(held), Ok(_)) = (held, TcpListener::bind(address)) {
+            HELD.lock().unwrap().push(held);
             return address;
         }
     }
