Test the dev command and the example settings

Cause: both were tried by hand only. Change: dev is started, serves a stream and a filing, and is stopped in mid-stream; every example is read by the code that serves it. Ruled out: nothing.

--- a/tests/checks.rs
+++ b/tests/checks.rs
@@ -113,6 +113,19 @@
     assert_eq!(run(&["check", "examples/document.yaml"]).0, 0);
 }
 
+#[test]
+fn the_example_settings_are_valid() {
+    use guavacove::settings::*;
+    let path = |name: &str| std::path::Path::new("examples").join(name);
+    for number in 1..=3 {
+        let settings = ControlSettings::read(&path(&format!("control-{number}.yaml"))).unwrap();
+        assert_eq!(settings.number, number);
+    }
+    EntrySettings::read(&path("entry-1.yaml")).unwrap();
+    AgentSettings::read(&path("agent-engine-1.yaml")).unwrap();
+    AgentSettings::read(&path("agent-filings-1.yaml")).unwrap();
+}
+
 #[test]
 fn a_taken_port_is_a_clear_error() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -141,7 +141,39 @@
     assert_eq!(output.status.code(), Some(1));
 }
 
+/// `guavacove dev` serves what it prints, and stops gracefully in mid-stream.
+async fn dev_serves() {
+    let folder = tempfile::tempdir().unwrap();
+    let address = free_address();
+    let words = vec!["dev".into(), "--port".into(), address.port().to_string()];
+    let mut dev = Process::spawn(words, folder.path().join("dev.log"));
+    eventually("dev is ready", 15_000, || async {
+        get(address, "/readyz").await.status == 200
+    })
+    .await;
+    let caller = Caller::new(address, VANDERMEULEN);
+    eventually("an engine is there", 5000, || async {
+        caller
+            .complete("When does my domain renew?", 5, true)
+            .await
+            .is_whole_stream(5)
+    })
+    .await;
+    assert_eq!(
+        Caller::new(address, LEDGERWELL)
+            .file("notice-1")
+            .await
+            .status,
+        201
+    );
+    let streaming = tokio::spawn(async move { caller.complete("x", 200, true).await });
+    sleep_ms(300).await;
+    assert!(dev.terminate(STOP_LIMIT), "{}", dev.log());
+    assert!(streaming.await.unwrap().is_whole_stream(200));
+}
+
 cases! {
+    dev_serves_and_stops_gracefully => dev_serves();
     a_request_is_explained => requests_are_explained();
     streams_and_filings_go_through_either_entry => either_entry_serves_streams_and_filings();
     a_document_applied_is_in_force_at_every_process => a_document_is_in_force_everywhere();
