Cut a leader off from its peers only, in the test of orders

Cause: with the lease unchecked the test of orders still passed: the cut-off leader was out of the agents' reach too, so its answers were never asked for. Ruled out: a fault in the shipped code. Change: the cut is between control instances only; agents still reach the old leader.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -241,8 +241,8 @@
 }
 
 /// Orders carry a number that grows with leadership. A leader on the wrong side
-/// of a long cut gives none that take effect, also at an engine that ignores the
-/// number and after its agent has restarted.
+/// of a long cut, whom agents still reach, gives none that take effect, also at
+/// an engine that ignores the number and after its agent has restarted.
 async fn orders_are_fenced() {
     let engines = System::builder().engine(&[]).engine(&["--checks-fencing"]);
     let mut system = engines.entries(1).proxied().start().await;
@@ -257,7 +257,7 @@
     }
     let leader = system.leader();
     let address = system.controls[leader].rpc.to_string();
-    system.cut_control(leader, true);
+    system.cut_peers(leader, true);
     let cut = Instant::now();
     sleep_ms(1500).await;
     let stale = guavacove(&[
@@ -283,7 +283,7 @@
     while cut.elapsed().as_millis() < CUT_MS {
         sleep_ms(100).await;
     }
-    system.cut_control(leader, false);
+    system.cut_peers(leader, false);
     sleep_ms(3000).await;
     for target in ["engine-1", "engine-2"] {
         let orders = get_json(system.target(target).address, "/orders").await;
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -154,18 +154,30 @@
 
     /// Cuts one control instance off from everything, or mends that.
     pub fn cut_control(&self, position: usize, cut: bool) {
+        self.cut_peers(position, cut);
+        for proxy in &self.controls[position].rpc_proxy {
+            turn(proxy, cut);
+        }
+    }
+
+    /// Cuts one control instance off from the others, or mends that. Entries,
+    /// agents and operators still reach it.
+    pub fn cut_peers(&self, position: usize, cut: bool) {
         let number = self.controls[position].number;
-        let proxies = self.controls.iter().flat_map(|control| {
-            let touching = control.peer_proxies.iter();
-            touching.filter(move |(to, _)| control.number == number || *to == number)
-        });
-        let rpc = self.controls[position].rpc_proxy.iter();
-        for proxy in proxies.map(|(_, proxy)| proxy).chain(rpc) {
-            if cut { proxy.cut() } else { proxy.mend() }
+        for control in &self.controls {
+            for (to, proxy) in &control.peer_proxies {
+                if control.number == number || *to == number {
+                    turn(proxy, cut);
+                }
+            }
         }
     }
 }
 
+fn turn(proxy: &Proxy, cut: bool) {
+    if cut { proxy.cut() } else { proxy.mend() }
+}
+
 fn add(counts: &mut BTreeMap<String, u64>, more: &Value) {
     for (name, count) in more.as_object().into_iter().flatten() {
         *counts.entry(name.clone()).or_default() += count.as_u64().unwrap_or(0);
