--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -74,8 +74,6 @@
     BadRequest,
     /// The request is larger than the limit.
     TooLarge,
-    /// The process is stopping.
-    Stopping,
   }
 }
 
@@ -105,7 +103,6 @@
             Self::UnknownService => "unknown-service",
             Self::BadRequest => "bad-request",
             Self::TooLarge => "too-large",
-            Self::Stopping => "stopping",
         })
     }
 }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -141,6 +141,33 @@
     assert_eq!(output.status.code(), Some(1));
 }
 
+/// HTTP/2 without TLS is served on the same port.
+async fn http2_is_served() {
+    use http_body_util::{BodyExt, Full};
+    use hyper_util::rt::{TokioExecutor, TokioIo};
+    let system = System::builder().entries(1).plain(1).start().await;
+    let stream = tokio::net::TcpStream::connect(system.entries[0].1)
+        .await
+        .unwrap();
+    let handshake =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.unwrap();
+    tokio::spawn(connection);
+    let calls = (0..20).map(|number| {
+        let request = hyper::Request::get(format!("http://entry/services/filings/{number}"))
+            .header("authorization", format!("Bearer {LEDGERWELL}"))
+            .body(Full::<bytes::Bytes>::default())
+            .unwrap();
+        sender.send_request(request)
+    });
+    for (number, call) in calls.collect::<Vec<_>>().into_iter().enumerate() {
+        let response = call.await.unwrap();
+        assert_eq!(response.status(), 200);
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        assert_eq!(body, format!("{{\"path\":\"/{number}\"}}"));
+    }
+}
+
 /// `guavacove dev` serves what it prints, and stops gracefully in mid-stream.
 async fn dev_serves() {
     let folder = tempfile::tempdir().unwrap();
@@ -173,6 +200,7 @@
 }
 
 cases! {
+    http2_without_tls_is_served => http2_is_served();
     dev_serves_and_stops_gracefully => dev_serves();
     a_request_is_explained => requests_are_explained();
     streams_and_filings_go_through_either_entry => either_entry_serves_streams_and_filings();
