Give a dead target no more work once it takes no connection

Cause: with an engine killed, 35 of 46 requests that were lost ended in not-run, target-failed (traced): the agent went on granting places for up to 2.5 s, until the announcement ran out, and each refused connection cost a retry of the budget. Ruled out: a larger budget, which lets a failing service be stormed. Change: an agent whose target takes no connection treats it as gone until it announces itself again; a malformed message no longer looks like that. Before: of 60 requests after a kill, the 30th was refused. After: 60 of 60 answered.

--- a/benches/policies.rs
+++ b/benches/policies.rs
@@ -5,7 +5,7 @@
 //! (default 12) how long requests arrive in each run, after a warm-up that is not
 //! counted. `GUAVACOVE_SCENARIO` and
 //! `GUAVACOVE_POLICY` pick some by a part of their names; `GUAVACOVE_TRACE`
-//! prints the live requests that were not answered in time.
+//! prints the requests that were not answered in time, and inversions.
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -354,18 +354,20 @@
         let took_ms = served.ended_ms - served.sent_ms;
         let is_good = served.whole && took_ms <= TIERS[served.tier].2;
         *good += usize::from(is_good);
-        if !is_good && served.tier == 0 && std::env::var("GUAVACOVE_TRACE").is_ok() {
+        if !is_good && std::env::var("GUAVACOVE_TRACE").is_ok() {
             let waited_ms = starts
                 .get(&served.id)
                 .map(|at| at.saturating_sub(served.sent_ms));
             println!(
-                "  live request at {} ms: {} prompt tokens, {} answer tokens, took {took_ms} ms, \
-                 started after {waited_ms:?} ms, first token {:?} ms, {} {}",
+                "  {} request at {} ms: {} prompt tokens, {} answer tokens, took {took_ms} ms, \
+                 started after {waited_ms:?} ms, first token {:?} ms, {} {} {}",
+                TIERS[served.tier].0,
                 arrival.at_ms,
                 arrival.prompt.len() / 4,
                 arrival.max_tokens,
                 served.first_token_ms,
                 served.verdict,
+                served.reason,
                 if served.whole { "whole" } else { "not whole" },
             );
         }
--- a/src/agent/dispatcher.rs
+++ b/src/agent/dispatcher.rs
@@ -1,8 +1,10 @@
 //! Reservations, dispatches and answers at one target.
 
 use super::{
-    Admission, Announcement, Capacity, Decision, Fate, announcement::ANNOUNCEMENT_LEASE_MS,
-    answer::Answer, target,
+    Admission, Announcement, Capacity, Decision, Fate,
+    announcement::ANNOUNCEMENT_LEASE_MS,
+    answer::{Answer, Ending},
+    target,
 };
 use crate::{
     control::{
@@ -378,9 +380,22 @@
     ) {
         let began = Instant::now();
         let call = tracing::info_span!("target.call", %request);
-        let outcome = target::run(&announcement, request, &head, &answer)
-            .instrument(call)
-            .await;
+        let address = announcement.address;
+        let message = call.in_scope(|| target::prepare(request, address, &head));
+        let outcome = match message {
+            Some(message) => {
+                let run = target::run(&announcement, request, message, &head, &answer);
+                let outcome = run.instrument(call).await;
+                if outcome == Outcome::NotRun {
+                    self.lose_target();
+                }
+                outcome
+            }
+            None => {
+                answer.end(Ending::Failed(Verdict::NotRun, Reason::BadRequest));
+                Outcome::NotRun
+            }
+        };
         let whole = matches!(outcome, Outcome::Answered(_) | Outcome::AnsweredLong);
         metrics::prompt(head.prompt_tokens, whole);
         let took_ms = whole.then(|| began.elapsed().as_millis() as u64);
@@ -404,6 +419,15 @@
         }
     }
 
+    /// The target took no connection: it is gone until it announces itself again.
+    fn lose_target(&self) {
+        tracing::warn!("agent: the target of {} takes no connection", self.name);
+        *self.target.lock().expect("no holder panics") = None;
+        self.publish_target();
+        let refused = self.admission().refuse_waiting(Reason::NoTarget);
+        self.deliver(refused);
+    }
+
     /// Continues an answer on a new link. A dispatch that never came is fenced.
     fn resume(
         self: &Arc<Self>,
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -56,7 +56,8 @@
         .map_err(|_| CallError(Verdict::MayHaveRun))
 }
 
-fn build(
+/// The message to the target, in the current span; `None` if it is malformed.
+pub fn prepare(
     request: RequestId,
     address: SocketAddr,
     head: &Dispatched,
@@ -154,14 +155,11 @@
 pub async fn run(
     announcement: &Announcement,
     request: RequestId,
+    message: Request<Full<Bytes>>,
     head: &Dispatched,
     answer: &Answer,
 ) -> Outcome {
     let address = announcement.address;
-    let Some(message) = build(request, address, head) else {
-        answer.end(Ending::Failed(Verdict::NotRun, Reason::BadRequest));
-        return Outcome::NotRun;
-    };
     let sent = tokio::select! {
         sent = send(address, message) => sent,
         () = answer.cancelled(), if !head.keep_outcome => {
--- a/tests/bad_links.rs
+++ b/tests/bad_links.rs
@@ -119,7 +119,21 @@
     assert!(answer.is_whole_stream(200), "{} bytes", answer.body.len());
 }
 
+/// A target dies with its agent alive: what its agent cannot connect to gets no
+/// more work at once, so that the budget of retries is not spent on it.
+async fn a_dead_target_is_avoided() {
+    let mut system = System::builder().entries(1).plain(1).plain(1).start().await;
+    let caller = system.caller(0, LEDGERWELL);
+    system.target("filings-1").process.kill();
+    for number in 0..60 {
+        let path = format!("/services/filings/{number}");
+        let answer = caller.send("GET", &path, None, "").await;
+        assert_eq!(answer.status, 200, "request {number}: {answer:?}");
+    }
+}
+
 cases! {
+    a_dead_target_gets_no_more_work => a_dead_target_is_avoided();
     streams_resume_when_links_go_silent => links_go_silent();
     a_stream_over_a_dead_link_is_not_passed_off_as_whole => a_link_stays_silent();
     an_answer_of_a_dead_engine_is_not_passed_off_as_whole => an_engine_dies();
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -155,7 +155,7 @@
     /// Cuts one control instance off from everything, or mends that.
     pub fn cut_control(&self, position: usize, cut: bool) {
         self.cut_peers(position, cut);
-        for proxy in &self.controls[position].rpc_proxy {
+        if let Some(proxy) = &self.controls[position].rpc_proxy {
             turn(proxy, cut);
         }
     }
