Say may-have-run where earlier attempts cannot be looked up

Cause: read as a newcomer: a resend with a key that met a control group out of reach was told not-run, though an earlier attempt with that key may have run; only this submission had not. The callers' checks saw no fault, as they compare request ids. Ruled out: holding the answer until control is back; it is given at once. Change: a failed look-up, and a cut-off entry that is sent a key, answer may-have-run; pre-votes and votes are counted by one function. Before: not-run in both cases.

--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -310,7 +310,10 @@
                     .push((from, Message::PreVoteReply { term, granted }));
             }
             Message::PreVoteReply { term, granted } => {
-                self.count_pre_vote(now_ms, from, term, granted, effects);
+                let asked = matches!(self.role, Role::PreCandidate(_));
+                if asked && term == self.hard.term.next() && self.add_vote(from, granted) {
+                    self.campaign(now_ms, false, effects);
+                }
             }
             Message::Vote {
                 term,
@@ -333,7 +336,10 @@
                     .push((from, Message::VoteReply { term, granted }));
             }
             Message::VoteReply { term, granted } => {
-                self.count_vote(now_ms, from, term, granted, effects);
+                let asked = matches!(self.role, Role::Candidate(_));
+                if asked && term == self.hard.term && self.add_vote(from, granted) {
+                    self.lead(now_ms, effects);
+                }
             }
             Message::Append {
                 term,
--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -82,46 +82,16 @@
         }
     }
 
-    pub(super) fn count_pre_vote(
-        &mut self,
-        now_ms: u64,
-        from: ReplicaId,
-        term: Term,
-        granted: bool,
-        effects: &mut Effects,
-    ) {
-        let wanted = self.hard.term.next();
-        let elected = match &mut self.role {
-            Role::PreCandidate(votes) if granted && term == wanted => {
+    /// Counts a vote or pre-vote; whether it completes a quorum.
+    pub(super) fn add_vote(&mut self, from: ReplicaId, granted: bool) -> bool {
+        let votes = match &mut self.role {
+            Role::PreCandidate(votes) | Role::Candidate(votes) if granted => {
                 votes.insert(from);
-                Some(votes.clone())
+                votes.clone()
             }
-            _ => None,
+            _ => return false,
         };
-        if elected.is_some_and(|votes| self.is_quorum(&votes)) {
-            self.campaign(now_ms, false, effects);
-        }
-    }
-
-    pub(super) fn count_vote(
-        &mut self,
-        now_ms: u64,
-        from: ReplicaId,
-        term: Term,
-        granted: bool,
-        effects: &mut Effects,
-    ) {
-        let current = self.hard.term;
-        let elected = match &mut self.role {
-            Role::Candidate(votes) if granted && term == current => {
-                votes.insert(from);
-                Some(votes.clone())
-            }
-            _ => None,
-        };
-        if elected.is_some_and(|votes| self.is_quorum(&votes)) {
-            self.lead(now_ms, effects);
-        }
+        self.is_quorum(&votes)
     }
 
     pub(super) fn lead(&mut self, now_ms: u64, effects: &mut Effects) {
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -132,8 +132,11 @@
                 .await
                 .map(Some),
             Err(error) => {
-                let message = format!("earlier attempts could not be looked up: {error}");
-                let refusal = Refusal::not_run(Reason::ClaimUnavailable, message);
+                let message = format!(
+                    "this attempt did not run, but earlier ones with its key could not be looked \
+                     up: {error}"
+                );
+                let refusal = Refusal::may_have_run(Reason::ClaimUnavailable, message);
                 Err(refusal.retry_after(IN_PROGRESS_RETRY_MS))
             }
         }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -20,6 +20,8 @@
 
 /// The longest body, in bytes.
 pub const BODY_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+/// The header that names a request of a customer.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// The longest idempotency key, in bytes.
 const KEY_LIMIT_BYTES: usize = 255;
 /// Bytes of a prompt for one token, as an estimate.
@@ -179,7 +181,7 @@
             format!("an Idempotency-Key is 1 to {KEY_LIMIT_BYTES} visible ASCII characters");
         Refusal::not_run(Reason::BadRequest, message)
     };
-    let Some(value) = parts.headers.get("idempotency-key") else {
+    let Some(value) = parts.headers.get(IDEMPOTENCY_KEY) else {
         return Ok(None);
     };
     let text = value.to_str().map_err(|_| invalid())?;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -5,7 +5,7 @@
     body::AnswerBody,
     limits::EntryLimits,
     refusal::Refusal,
-    request::{self, Inbound},
+    request::{self, IDEMPOTENCY_KEY, Inbound},
     scheduler::Scheduler,
 };
 use crate::{
@@ -38,6 +38,9 @@
 use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
 use tracing::Instrument;
 
+/// The advice when to come back to an entry that is cut off.
+const RETRY_AFTER_MS: u64 = 1000;
+
 /// Why an entry cannot start.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 #[display("cannot listen at {address}: {error}")]
@@ -253,7 +256,12 @@
         let view = self.view.load();
         if !view.holds() {
             let message = "this entry has lost touch with the control group";
-            let refusal = Refusal::not_run(Reason::CutOff, message).retry_after(1000);
+            // A key may have been used before, which cannot be looked up now.
+            let refusal = match request.headers().contains_key(IDEMPOTENCY_KEY) {
+                true => Refusal::may_have_run(Reason::CutOff, message),
+                false => Refusal::not_run(Reason::CutOff, message),
+            };
+            let refusal = refusal.retry_after(RETRY_AFTER_MS);
             return refusal.into_response(id);
         }
         let span = tracing::info_span!("entry.request", request = %id);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -118,6 +118,13 @@
         (503, "cut-off"),
         "{refused:?}"
     );
+    // Whether a key was used before cannot be looked up: "not run" would be a guess.
+    let keyed = system.caller(0, LEDGERWELL).file("known-before").await;
+    assert_eq!(
+        (keyed.status, keyed.verdict()),
+        (502, "may-have-run"),
+        "{keyed:?}"
+    );
 }
 
 /// A silent agent is out within three seconds.
