Count a view from when the leader answered, not from when it was asked

A view held for 3.5 s from when its renewal was sent; the leader holds a renewal back for up to 0.8 s, and a cut comes up to 0.8 s after the last answer. Change: a reply says how long the leader held the request back, and the view counts from then. A change is still in force everywhere within 3.5 s of its commit, as the leader answers no later than that with an older document. Conclusion: a process that is cut off serves on for at least 2.5 s.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -96,7 +96,13 @@
 struct Waiting {
     request: SyncRequest,
     port: Port<SyncReply>,
-    until_ms: u64,
+    arrived_ms: u64,
+}
+
+impl Waiting {
+    fn until_ms(&self) -> u64 {
+        self.arrived_ms + self.request.wait_ms
+    }
 }
 
 struct Present {
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -101,15 +101,14 @@
                 .members
                 .renew(request.member.clone(), request.document_version, now_ms),
         };
-        let (reply, is_news) = self.reply_to(&request);
+        let (reply, is_news) = self.reply_to(&request, now_ms);
         if is_news || request.wait_ms == 0 {
             let _ = port.send(Ok(reply));
         } else {
-            let until_ms = now_ms + request.wait_ms;
             self.waiting.push(Waiting {
                 request,
                 port,
-                until_ms,
+                arrived_ms: now_ms,
             });
         }
         if changed {
@@ -132,7 +131,7 @@
     }
 
     /// What a process lacks, and whether it lacks anything.
-    pub(super) fn reply_to(&self, request: &SyncRequest) -> (SyncReply, bool) {
+    pub(super) fn reply_to(&self, request: &SyncRequest, arrived_ms: u64) -> (SyncReply, bool) {
         let document = self.control.document();
         let document = (document.version != request.document_version).then(|| document.clone());
         let fencing = FencingNumber(self.core.term().0);
@@ -151,6 +150,7 @@
         let is_news = document.is_some() || members.is_some() || orders != request.orders;
         (
             SyncReply {
+                held_ms: self.now_ms().saturating_sub(arrived_ms),
                 fencing,
                 document,
                 members,
@@ -166,7 +166,7 @@
             return;
         }
         for waiting in std::mem::take(&mut self.waiting) {
-            match self.reply_to(&waiting.request) {
+            match self.reply_to(&waiting.request, waiting.arrived_ms) {
                 (reply, true) => drop(waiting.port.send(Ok(reply))),
                 (_, false) => self.waiting.push(waiting),
             }
@@ -176,9 +176,9 @@
     /// Answers those that have waited long enough.
     pub(super) fn answer_late(&mut self, now_ms: u64) {
         for waiting in std::mem::take(&mut self.waiting) {
-            match waiting.until_ms <= now_ms {
+            match waiting.until_ms() <= now_ms {
                 true => {
-                    let (reply, _) = self.reply_to(&waiting.request);
+                    let (reply, _) = self.reply_to(&waiting.request, waiting.arrived_ms);
                     let _ = waiting.port.send(Ok(reply));
                 }
                 false => self.waiting.push(waiting),
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -33,8 +33,11 @@
         pub goodbye: bool,
     }
 
-    /// What a process lacks. It holds from when the request was sent.
+    /// What a process lacks.
     pub struct SyncReply {
+        /// How long the leader held the request back, in milliseconds: the reply is
+        /// of that much later, at the least, than when the request was sent.
+        pub held_ms: u64,
         /// The leader's fencing number.
         pub fencing: FencingNumber,
         /// The document, if the process has an older one.
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -20,7 +20,8 @@
 };
 use tokio::sync::watch;
 
-/// How long a view holds after the request that renewed it was sent.
+/// How long a view holds. It counts from when the leader answered at the earliest:
+/// from when the request was sent, and as long later as the leader held it back.
 pub const VIEW_LEASE_MS: u64 = 3500;
 /// How long the leader may hold a renewal back while there is nothing new.
 const RENEWAL_WAIT_MS: u64 = 800;
@@ -212,8 +213,9 @@
         (view, versions): &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         let mut next = View::clone(&view.load());
+        let held_ms = reply.held_ms.min(RENEWAL_WAIT_MS);
         if reply.fencing >= next.fencing && merge(&mut next, reply) {
-            next.valid_until = Some(sent + Duration::from_millis(VIEW_LEASE_MS));
+            next.valid_until = Some(sent + Duration::from_millis(held_ms + VIEW_LEASE_MS));
             let version = next.policy.version;
             view.store(Arc::new(next));
             versions.send_if_modified(|known| std::mem::replace(known, version) != version);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -7,6 +7,11 @@
 
 /// From the brief: a leaving target gets no new work after a few seconds.
 const LEAVING_MS: u64 = 2000;
+/// A process that is cut off from control serves on for at least this long.
+const SERVES_ON_MS: u64 = 2500;
+/// How long before the cut the last renewal was answered, and how long that one
+/// had been held back; less than the leader holds one back at the most.
+const RENEWAL_PHASE_MS: u64 = 500;
 /// How long a control leader is cut off.
 const CUT_MS: u128 = 30_000;
 /// A silent target is out within this time.
@@ -127,6 +132,27 @@
     );
 }
 
+/// An entry that was cut off just before a renewal is answered serves on: the answer
+/// before that one says how long the leader had held it back.
+async fn cut_off_entries_serve_on() {
+    let system = System::builder().entries(1).plain(5).proxied();
+    let system = system.start().await;
+    let caller = system.caller(0, LEDGERWELL);
+    // A change is answered at once, so that renewals are in step with it.
+    for number in 1..=2 {
+        let document = format!("{}# change {number}\n", DOCUMENT);
+        let output = system.apply(&document, &["--expected", &number.to_string()]);
+        assert!(output.status.success(), "{output:?}");
+        sleep_ms(RENEWAL_PHASE_MS).await;
+    }
+    for control in &system.controls {
+        control.rpc_proxy.as_ref().unwrap().cut();
+    }
+    sleep_ms(SERVES_ON_MS).await;
+    let answer = caller.send("GET", "/services/filings/x", None, "").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 /// A silent agent is out within three seconds.
 async fn silent_agents() {
     let mut system = three_plain().await;
@@ -323,6 +349,7 @@
     orders_of_a_cut_off_leader_take_no_effect => orders_are_fenced();
     a_drained_target_gets_nothing_new => drains();
     a_leaving_target_refuses_what_comes_late => targets_leave();
+    a_cut_off_entry_serves_until_its_view_ends => cut_off_entries_serve_on();
     a_silent_agent_is_out_in_time => silent_agents();
     a_rolling_restart_cuts_nothing => rolling_restart();
 }
