Never take a forgotten outcome for one that never was

Cause: found by reading. An agent that forgot an outcome noted its grant as the highest forgotten one, also where that was an early grant that had ended late. Earlier forgotten grants then looked unused, and a fence said "not run" of a filing that ran. Also, by count alone the kept answers could fill 64 MB, the whole budget of a node. Ruled out: grants that survive a restart (another incarnation, always unknown). Conclusion: the agent's memory for answers is bounded by bytes.

--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -1,6 +1,6 @@
 //! The agent's queue and grants, as pure decisions from inputs and the time.
 
-use super::pace::Pace;
+use super::{outcomes::Outcomes, pace::Pace};
 use crate::{
     control::command::{GrantId, Outcome},
     derives::record,
@@ -12,8 +12,6 @@
 
 /// How long a grant may stay unused.
 pub const GRANT_TTL_MS: u64 = 1500;
-/// How many outcomes are kept for resends.
-const KEPT_OUTCOMES: usize = 4096;
 /// The rate assumed before anything was measured.
 const INITIAL_TOKENS_PER_S: u64 = 1000;
 /// The bounds of the advice when to come back.
@@ -103,8 +101,7 @@
     positions: BTreeMap<RequestId, (TierRank, u64)>,
     holders: BTreeMap<GrantNumber, Holder>,
     used_tokens: u64,
-    outcomes: BTreeMap<GrantNumber, Outcome>,
-    forgotten: GrantNumber,
+    outcomes: Outcomes,
     next_arrival: u64,
     next_grant: u64,
     tokens_per_s: u64,
@@ -122,8 +119,7 @@
             positions: BTreeMap::new(),
             holders: BTreeMap::new(),
             used_tokens: 0,
-            outcomes: BTreeMap::new(),
-            forgotten: GrantNumber(0),
+            outcomes: Outcomes::default(),
             next_arrival: 0,
             next_grant: 1,
             tokens_per_s: INITIAL_TOKENS_PER_S,
@@ -262,11 +258,7 @@
                 self.measure(holder.tokens, took_ms);
                 self.pace.measure(holder.answer_tokens, took_ms);
             }
-            self.outcomes.insert(grant.number, outcome);
-        }
-        if self.outcomes.len() > KEPT_OUTCOMES {
-            let oldest = self.outcomes.pop_first();
-            self.forgotten = oldest.map_or(self.forgotten, |(number, _)| number);
+            self.outcomes.keep(grant.number, outcome);
         }
         self.grant_waiting(now_ms)
     }
@@ -278,7 +270,7 @@
             .holders
             .get(&grant.number)
             .map(|h| h.phase == Phase::Running);
-        match (running, self.outcomes.get(&grant.number)) {
+        match (running, self.outcomes.get(grant.number)) {
             _ if grant.incarnation != self.incarnation => Fate::Unknown,
             _ if grant.number.0 >= self.next_grant => Fate::Unknown,
             (Some(true), _) => Fate::Running,
@@ -287,7 +279,7 @@
                 Fate::NotRun
             }
             (None, Some(outcome)) => Fate::Finished(outcome.clone()),
-            (None, None) if grant.number <= self.forgotten => Fate::Unknown,
+            (None, None) if self.outcomes.may_have_forgotten(grant.number) => Fate::Unknown,
             (None, None) => Fate::NotRun,
         }
     }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod dispatcher;
 mod orders;
+mod outcomes;
 mod pace;
 mod server;
 mod target;
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -153,6 +153,18 @@
 }
 
 impl Outcome {
+    /// The bytes of the answer that it holds.
+    pub fn answer_bytes(&self) -> usize {
+        match self {
+            Self::Answered(answer) => {
+                let headers = answer.headers.iter();
+                let header_bytes = headers.map(|(name, value)| name.len() + value.len());
+                answer.body.len() + header_bytes.sum::<usize>()
+            }
+            _ => 0,
+        }
+    }
+
     /// The verdict that it stands for.
     pub fn verdict(&self) -> Verdict {
         match self {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -140,7 +140,7 @@
     let caller = system.caller(0, LEDGERWELL);
     // A change is answered at once, so that renewals are in step with it.
     for number in 1..=2 {
-        let document = format!("{}# change {number}\n", DOCUMENT);
+        let document = format!("{DOCUMENT}# change {number}\n");
         let output = system.apply(&document, &["--expected", &number.to_string()]);
         assert!(output.status.success(), "{output:?}");
         sleep_ms(RENEWAL_PHASE_MS).await;
