Leave a claim open while its agent may yet learn the outcome

Cause: found by reading. An entry that lost the link to an agent, or whose request passed its deadline, recorded the claim as may-have-run for good. The agent went on, kept the answer, and no resend ever got it: a filing's answer silently lost. Ruled out: asking the agent before the refusal, which would hold the refusal back. Change: a claim is settled as may-have-run only where that is final (the target failed, the agent restarted); otherwise it stays open, and a resend asks the agent. Conclusion: the verdict of the first submission is the same; only resends gain.

--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -183,15 +183,12 @@
                 }
             }
         }
-        if let Some(holder) = own_claim {
-            self.settle(
-                &inbound,
-                holder,
-                match last.verdict {
-                    Verdict::NotRun => Outcome::NotRun,
-                    Verdict::MayHaveRun | Verdict::Ran => Outcome::MayHaveRun,
-                },
-            );
+        match (own_claim, last.verdict, &last.reason) {
+            (Some(holder), Verdict::NotRun, _) => self.settle(&inbound, holder, Outcome::NotRun),
+            // The agent may yet learn the outcome: a resend asks it.
+            (Some(_), _, Reason::LinkLost | Reason::Expired) => {}
+            (Some(holder), ..) => self.settle(&inbound, holder, Outcome::MayHaveRun),
+            (None, ..) => {}
         }
         Err(last)
     }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -274,6 +274,36 @@
     told.check(&system).await;
 }
 
+/// The agent is frozen in the midst of a filing for so long that its entry gives
+/// up; once it is back, a resend gets the answer.
+async fn an_agent_is_frozen() {
+    let mut system = System::builder().plain(300).start().await;
+    let mut told = Told::default();
+    let filings = spawn_filings(&system, 0, &["frozen".into()]);
+    sleep_ms(150).await;
+    system.target("filings-1").agent.freeze();
+    gather(filings, &mut told).await;
+    assert_eq!(told.may_have_run, ["frozen"], "{:?}", told.not_run);
+    system.target("filings-1").agent.thaw();
+    let answer = resend(&system, "frozen", &mut told).await;
+    assert_eq!(answer.status, 201, "{answer:?}");
+    told.check(&system).await;
+}
+
+/// The target answers after the tier's deadline; a resend gets that answer.
+async fn an_answer_is_late() {
+    let document = DOCUMENT.replacen("deadline_ms: 60000", "deadline_ms: 600", 1);
+    let system = System::builder().plain(1500).document(&document);
+    let system = system.start().await;
+    let mut told = Told::default();
+    let filings = spawn_filings(&system, 0, &["late".into()]);
+    gather(filings, &mut told).await;
+    assert_eq!(told.may_have_run, ["late"], "{:?}", told.not_run);
+    let answer = resend(&system, "late", &mut told).await;
+    assert_eq!(answer.status, 201, "{answer:?}");
+    told.check(&system).await;
+}
+
 /// 200 filings a second while the leader is killed and returns.
 async fn a_leader_is_killed_under_load() {
     let mut system = filing_system(5).await;
@@ -320,5 +350,7 @@
     a_filing_runs_once_when_entry_and_agent_are_killed => an_entry_and_an_agent_are_killed();
     a_filing_runs_once_when_its_target_breaks_off => targets_break_off();
     a_resend_gets_the_lost_answer => answers_are_lost();
+    a_resend_gets_the_answer_of_a_frozen_agent => an_agent_is_frozen();
+    a_resend_gets_the_late_answer => an_answer_is_late();
     a_filing_runs_once_when_a_leader_is_killed => a_leader_is_killed_under_load();
 }
