Serve a console whose output is the document

Ruled out: pages made on the server, a front-end library with a build step, and writing the document in the browser (its layout and its merge are then tested by nobody). Change: control instances serve a page that draws its forms from the schema; the server lays out, compares, checks, applies and rebases. Sign-in by a token from the settings; loopback by default; posts from other sites are refused.

--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -1,6 +1,7 @@
 //! A running control instance.
 
 use super::{
+    ControlClient,
     command::{Claim, ClaimKey, ClaimedAttempt, Command, Outcome, Reply},
     limits::{LimitGrant, LimitWant},
     orders::Order,
@@ -11,7 +12,8 @@
 };
 use crate::{
     consensus::{Storage, StorageError},
-    settings::ControlSettings,
+    console::{Console, ConsoleStartError},
+    settings::{ControlSettings, PeerSettings},
     threads,
     units::*,
 };
@@ -20,7 +22,7 @@
     server::{Server, ServerConfig, ServerHandle},
 };
 use ractor::{Actor, ActorRef};
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, sync::oneshot};
 
 /// The largest RPC request, in bytes: a document or a recorded answer.
@@ -38,6 +40,8 @@
     /// An address cannot be bound.
     #[display("cannot listen: {_0}")]
     Io(io::Error),
+    /// See [`ConsoleStartError`].
+    Console(ConsoleStartError),
     /// The actor did not start.
     #[display("the replica did not start: {_0}")]
     Spawn(ractor::SpawnErr),
@@ -48,6 +52,7 @@
     replica: ActorRef<ReplicaMessage>,
     rpc: ServerHandle,
     rpc_address: SocketAddr,
+    console: Option<Console>,
     stopped: oneshot::Receiver<()>,
 }
 
@@ -98,10 +103,15 @@
         let rpc_address = server.local_addr()?;
         let rpc = server.start(Rpc(replica.clone()).into_rpc());
         tracing::info!("control: serves RPC at {rpc_address}");
+        let console = match &settings.console {
+            Some(console) => Some(Console::bind(console, client_of(settings, rpc_address)).await?),
+            None => None,
+        };
         Ok(Self {
             replica,
             rpc,
             rpc_address,
+            console,
             stopped,
         })
     }
@@ -111,6 +121,11 @@
         self.rpc_address
     }
 
+    /// Where the console is served.
+    pub fn console_address(&self) -> Option<SocketAddr> {
+        self.console.as_ref().map(Console::address)
+    }
+
     /// Completes if the replica stops by itself, as when its disk fails.
     pub async fn failed(&mut self) {
         let _ = (&mut self.stopped).await;
@@ -118,6 +133,9 @@
 
     /// Hands over leadership, then stops.
     pub async fn shutdown(self) {
+        if let Some(console) = self.console {
+            console.shutdown().await;
+        }
         let (port, done) = oneshot::channel();
         let _ = self.replica.cast(ReplicaMessage::HandOver(port));
         let _ = done.await;
@@ -128,6 +146,17 @@
     }
 }
 
+/// A client of the whole group; this instance may listen at a port that was given to it.
+fn client_of(settings: &ControlSettings, rpc_address: SocketAddr) -> Arc<ControlClient> {
+    let address = |peer: &PeerSettings| match peer.number == settings.number {
+        true => rpc_address,
+        false => peer.rpc,
+    };
+    Arc::new(ControlClient::new(
+        settings.peers.iter().map(address).collect(),
+    ))
+}
+
 async fn tick(replica: ActorRef<ReplicaMessage>) {
     let mut interval = tokio::time::interval(Duration::from_millis(TICK_MS));
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -58,11 +58,16 @@
         peer: loopback(0),
         rpc: loopback(0),
     };
+    let token = RequestId::random().to_string();
     let settings = ControlSettings {
         number: 1,
         failure_domain: "dev".into(),
         peers: vec![own],
         data_folder: folder.0.clone(),
+        console: Some(ConsoleSettings {
+            listen: loopback(0),
+            token: token.clone(),
+        }),
         telemetry: TelemetrySettings::default(),
     };
     let control = ControlServer::spawn(&settings).await?;
@@ -104,6 +109,9 @@
     agents.push(agent);
     put_in_force(&ControlClient::new(control_addresses.clone())).await?;
     print_welcome(entry.address(), control_addresses[0], entry.admin_address());
+    if let Some(console) = control.console_address() {
+        println!("\nThe console, where you sign in with {token}:\n  http://{console}/");
+    }
     signals::stop_requested().await;
     println!("stopping");
     entry.shutdown().await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod arguments;
 pub mod commands;
 pub mod consensus;
+pub mod console;
 pub mod control;
 pub mod control_view;
 pub mod dev;
@@ -14,6 +15,7 @@
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 pub mod document_types;
 pub mod entry;
+pub mod http_server;
 pub mod link;
 pub mod metrics;
 pub mod settings;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,7 +4,7 @@
 use serde::de::DeserializeOwned;
 use std::{
     fs, io,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
 };
 
@@ -76,6 +76,16 @@
         pub rpc: SocketAddr,
     }
 
+    /// The operators' console of a control instance.
+    #[serde(deny_unknown_fields)]
+    pub struct ConsoleSettings {
+        /// Where operators' browsers connect; a loopback address by default.
+        #[serde(default = "default_console_listen")]
+        pub listen: SocketAddr,
+        /// What operators sign in with; at least 16 characters.
+        pub token: String,
+    }
+
     /// Settings of `guavacove control`.
     #[serde(deny_unknown_fields)]
     pub struct ControlSettings {
@@ -87,12 +97,24 @@
         pub peers: Vec<PeerSettings>,
         /// Where the log is kept.
         pub data_folder: PathBuf,
+        /// See [`ConsoleSettings`]; no console if unset.
+        #[serde(default)]
+        pub console: Option<ConsoleSettings>,
         /// See [`TelemetrySettings`].
         #[serde(default)]
         pub telemetry: TelemetrySettings,
     }
 }
 
+/// Where the console listens by default.
+const CONSOLE_PORT: u16 = 7180;
+/// The shortest token that operators may sign in with, in characters.
+const TOKEN_CHARACTERS: usize = 16;
+
+fn default_console_listen() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, CONSOLE_PORT))
+}
+
 fn default_balancer_delay_ms() -> u64 {
     3000
 }
@@ -195,6 +217,13 @@
             let message = format!("peers: there are {count}; name 1, 3, 5 or 7 control instances");
             return Some(("peers", message));
         }
+        let token = self.console.as_ref().map(|console| console.token.len());
+        if token.is_some_and(|characters| characters < TOKEN_CHARACTERS) {
+            let message = format!(
+                "token: the console's token is too short; use {TOKEN_CHARACTERS} characters or more"
+            );
+            return Some(("token", message));
+        }
         let listed = numbers.binary_search(&self.number).is_ok();
         let message = format!("number: {} is not among the peers {numbers:?}", self.number);
         (!listed).then_some(("number", message))
--- a/tests/checks.rs
+++ b/tests/checks.rs
@@ -69,6 +69,7 @@
     a_bad_address_is_named: "entry", "name: e\nfailure_domain: a\nlisten: here\ncontrol: []\n", ["file.yaml:3", "socket address"];
     no_control_is_named: "entry", "name: e\nfailure_domain: a\nlisten: 127.0.0.1:0\ncontrol: []\n", ["file.yaml:4", "at least one"];
     an_open_announce_address_is_named: "agent", "name: e\nfailure_domain: a\nlisten: 127.0.0.1:0\nannounce: 0.0.0.0:1\ncontrol: [\"127.0.0.1:1\"]\n", ["file.yaml:4", "loopback"];
+    a_short_console_token_is_refused: "control", "number: 1\nfailure_domain: a\ndata_folder: x\npeers:\n  - {number: 1, peer: \"127.0.0.1:1\", rpc: \"127.0.0.1:2\"}\nconsole:\n  token: short\n", ["file.yaml:7", "16 characters"];
     two_controls_are_refused: "control", "number: 1\nfailure_domain: a\ndata_folder: x\npeers:\n  - {number: 1, peer: \"127.0.0.1:1\", rpc: \"127.0.0.1:2\"}\n  - {number: 2, peer: \"127.0.0.1:3\", rpc: \"127.0.0.1:4\"}\n", ["file.yaml:4", "1, 3, 5 or 7"];
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,7 +11,7 @@
     caller::{Answer, Caller, fetch},
     process::{Process, free_address, guavacove},
     proxy::Proxy,
-    system::{Control, DOCUMENT, STOP_LIMIT, System, get, get_json},
+    system::{CONSOLE_TOKEN, Control, DOCUMENT, STOP_LIMIT, System, get, get_json},
 };
 
 pub const LEDGERWELL: &str = "ledgerwell-example-key";
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -6,6 +6,8 @@
 use serde_json::{Value, json};
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
+/// What operators sign in to the console with.
+pub const CONSOLE_TOKEN: &str = "a-token-for-tests-only";
 pub const DOCUMENT: &str = include_str!("../../examples/document.yaml");
 
 pub struct SystemBuilder {
@@ -32,6 +34,7 @@
     pub process: Process,
     pub number: usize,
     pub rpc: SocketAddr,
+    pub console: SocketAddr,
     pub data_folder: PathBuf,
     /// Between others' calls and this instance's RPC.
     pub rpc_proxy: Option<Proxy>,
@@ -311,11 +314,13 @@
                 listed.push(json!({"number": other + 1, "peer": peer_address, "rpc": rpc}));
             }
             let data_folder = system.folder.path().join(format!("data-{number}"));
+            let console = free_address();
             let settings = json!({
                 "number": number,
                 "failure_domain": failure_domain(position),
                 "data_folder": data_folder,
                 "peers": listed,
+                "console": {"listen": console, "token": CONSOLE_TOKEN},
             });
             let rpc_proxy = match self.proxied {
                 true => Some(Proxy::spawn(*rpc).await),
@@ -329,6 +334,7 @@
                 process,
                 number,
                 rpc,
+                console,
                 data_folder,
                 rpc_proxy,
                 peer_proxies,
