Serve HTTP in one place

Cause: the loop that accepts connections and serves them stood four times (callers, operators' questions, announcements, the stand-in engine), each with its own manners of stopping. Ruled out: the stand-in plain service, which breaks connections off on purpose. Change: HttpListener and HttpServer; a stop finishes requests everywhere.

--- a/src/agent/server.rs
+++ b/src/agent/server.rs
@@ -8,6 +8,7 @@
         members::{Member, ProcessRole},
     },
     control_view::ControlView,
+    http_server::{HttpListener, HttpServer},
     link::{self, LinkReceiver, LinkSender},
     settings::AgentSettings,
     units::*,
@@ -15,11 +16,8 @@
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
-use hyper_util::rt::TokioIo;
-use std::{
-    collections::HashSet, convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration,
-};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use std::{collections::HashSet, io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::net::{TcpListener, TcpStream};
 
 /// How often the agent looks at its clock.
@@ -44,7 +42,7 @@
     dispatcher: Arc<Dispatcher>,
     name: TargetName,
     address: SocketAddr,
-    announce: SocketAddr,
+    announcements: HttpServer,
 }
 
 impl Agent {
@@ -54,7 +52,12 @@
     /// Fails if an address cannot be bound.
     pub async fn bind(settings: &AgentSettings) -> Result<Self, AgentStartError> {
         let (links, address) = listen(settings.listen).await?;
-        let (announcements, announce) = listen(settings.announce).await?;
+        let announcements = HttpListener::bind(settings.announce)
+            .await
+            .map_err(|error| AgentStartError {
+                address: settings.announce,
+                error,
+            })?;
         let incarnation = Incarnation::random();
         let member = Member {
             name: ProcessName(settings.name.0.clone()),
@@ -68,7 +71,11 @@
         let view = ControlView::spawn(client, member);
         let dispatcher = Arc::new(Dispatcher::new(settings.name.clone(), incarnation, view));
         tokio::spawn(accept_links(links, Arc::clone(&dispatcher)));
-        tokio::spawn(accept_announcements(announcements, Arc::clone(&dispatcher)));
+        let announced = Arc::clone(&dispatcher);
+        let announcements = announcements.serve("agent", move |request| {
+            let dispatcher = Arc::clone(&announced);
+            async move { take_announcement(request, &dispatcher).await }
+        });
         tokio::spawn(tick(Arc::clone(&dispatcher)));
         tokio::spawn(follow_orders(Arc::clone(&dispatcher)));
         tracing::info!("agent: {} listens at {address}", settings.name);
@@ -76,7 +83,7 @@
             dispatcher,
             name: settings.name.clone(),
             address,
-            announce,
+            announcements,
         })
     }
 
@@ -87,7 +94,7 @@
 
     /// Where the target announces itself.
     pub fn announce_address(&self) -> SocketAddr {
-        self.announce
+        self.announcements.address()
     }
 
     /// Takes no new work, finishes what runs, says goodbye.
@@ -155,20 +162,6 @@
     }
 }
 
-async fn accept_announcements(listener: TcpListener, dispatcher: Arc<Dispatcher>) {
-    loop {
-        let stream = accept::accept(&listener, "agent").await;
-        let dispatcher = Arc::clone(&dispatcher);
-        let service = service_fn(move |request| {
-            let dispatcher = Arc::clone(&dispatcher);
-            async move { Ok::<_, Infallible>(take_announcement(request, &dispatcher).await) }
-        });
-        let connection = hyper::server::conn::http1::Builder::new()
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(connection);
-    }
-}
-
 async fn take_announcement(
     request: Request<Incoming>,
     dispatcher: &Dispatcher,
--- a/src/console/console.js
+++ b/src/console/console.js
@@ -91,7 +91,9 @@
 function field(schema, owner, name, path, isRequired) {
   const property = resolve(schema);
   const listed = referredList(name);
-  const hint = element("small", {}, property.description || "");
+  // What a name looks like matters only where one is typed.
+  const described = listed && property.pattern ? "" : property.description || "";
+  const hint = element("small", {}, described);
   const faults = faultsAt(path);
   const wrap = (control) => {
     control.id = path;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -9,24 +9,19 @@
     scheduler::Scheduler,
 };
 use crate::{
-    accept,
     control::{
         ControlClient,
         members::{Member, ProcessRole},
     },
     control_view::ControlView,
+    http_server::{HttpListener, HttpServer},
     settings::EntrySettings,
     telemetry,
     units::*,
     verdict::Reason,
 };
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
-use hyper_util::{
-    rt::{TokioExecutor, TokioIo},
-    server::{conn::auto, graceful::GracefulShutdown},
-};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use std::{
-    convert::Infallible,
     io,
     net::SocketAddr,
     sync::{
@@ -35,7 +30,6 @@
     },
     time::Duration,
 };
-use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
 use tracing::Instrument;
 
 /// The advice when to come back to an entry that is cut off.
@@ -61,11 +55,9 @@
 pub struct Entry {
     shared: Arc<Shared>,
     name: ProcessName,
-    address: SocketAddr,
-    admin_address: Option<SocketAddr>,
+    callers: HttpServer,
+    admin: Option<HttpServer>,
     balancer_delay: Duration,
-    stop_accepting: oneshot::Sender<()>,
-    accepting: JoinHandle<()>,
 }
 
 impl Entry {
@@ -78,8 +70,8 @@
             address: settings.listen,
             error,
         };
-        let listener = TcpListener::bind(settings.listen).await.map_err(failed)?;
-        let address = listener.local_addr().map_err(failed)?;
+        let listener = HttpListener::bind(settings.listen).await.map_err(failed)?;
+        let address = listener.address();
         let incarnation = Incarnation::random();
         let member = Member {
             name: settings.name.clone(),
@@ -110,42 +102,46 @@
             scheduler,
             stopping,
         });
-        let admin_address = match settings.admin {
-            Some(address) => Some(serve_admin(address, Arc::clone(&shared)).await?),
+        let admin = match settings.admin {
+            Some(address) => Some(
+                serve_admin(address, Arc::clone(&shared))
+                    .await
+                    .map_err(|error| EntryStartError { address, error })?,
+            ),
             None => None,
         };
-        let (stop_accepting, stopped) = oneshot::channel();
-        let accepting = tokio::spawn(serve(listener, Arc::clone(&shared), stopped));
+        let answering = Arc::clone(&shared);
+        let callers = listener.serve("entry", move |request| {
+            let shared = Arc::clone(&answering);
+            async move { shared.answer(request).await }
+        });
         tracing::info!("entry: {} listens at {address}", settings.name);
         let balancer_delay = Duration::from_millis(settings.balancer_delay_ms);
         let name = settings.name.clone();
         Ok(Self {
             shared,
             name,
-            address,
-            admin_address,
+            callers,
+            admin,
             balancer_delay,
-            stop_accepting,
-            accepting,
         })
     }
 
     /// Where callers connect.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.callers.address()
     }
 
     /// Where operators ask what happened to a request.
     pub fn admin_address(&self) -> Option<SocketAddr> {
-        self.admin_address
+        self.admin.as_ref().map(HttpServer::address)
     }
 
     /// Turns unready, stays open for the balancer, then finishes every request.
     pub async fn shutdown(self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
         tokio::time::sleep(self.balancer_delay).await;
-        let _ = self.stop_accepting.send(());
-        let _ = self.accepting.await;
+        self.callers.shutdown().await;
         let background = &self.shared.scheduler.background;
         background.close();
         background.wait().await;
@@ -155,50 +151,12 @@
 }
 
 /// Serves `GET /requests/ID` to operators.
-async fn serve_admin(
-    address: SocketAddr,
-    shared: Arc<Shared>,
-) -> Result<SocketAddr, EntryStartError> {
-    let failed = |error| EntryStartError { address, error };
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
-    let bound = listener.local_addr().map_err(failed)?;
-    tokio::spawn(async move {
-        loop {
-            let stream = accept::accept(&listener, "entry").await;
-            let shared = Arc::clone(&shared);
-            let service = service_fn(move |request: Request<Incoming>| {
-                let response = shared.explain(request.uri().path());
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let http = hyper::server::conn::http1::Builder::new();
-            tokio::spawn(http.serve_connection(TokioIo::new(stream), service));
-        }
-    });
-    Ok(bound)
-}
-
-/// Serves connections until told to stop, then finishes those that are open.
-async fn serve(listener: TcpListener, shared: Arc<Shared>, mut stopped: oneshot::Receiver<()>) {
-    let graceful = GracefulShutdown::new();
-    let builder = auto::Builder::new(TokioExecutor::new());
-    loop {
-        let stream = tokio::select! {
-            stream = accept::accept(&listener, "entry") => stream,
-            _ = &mut stopped => break,
-        };
-        let _ = stream.set_nodelay(true);
-        let shared = Arc::clone(&shared);
-        let service = service_fn(move |request| {
-            let shared = Arc::clone(&shared);
-            async move { Ok::<_, Infallible>(shared.answer(request).await) }
-        });
-        let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
-        tokio::spawn(graceful.watch(connection));
-    }
-    drop(listener);
-    graceful.shutdown().await;
+async fn serve_admin(address: SocketAddr, shared: Arc<Shared>) -> io::Result<HttpServer> {
+    let handle = move |request: Request<Incoming>| {
+        let response = shared.explain(request.uri().path());
+        async move { response }
+    };
+    HttpServer::bind(address, "entry", handle).await
 }
 
 impl Shared {
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -14,6 +14,12 @@
 use std::{convert::Infallible, error::Error, io, net::SocketAddr};
 use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
 
+/// A bound address that is not served yet.
+pub struct HttpListener {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
 /// A running server. Dropping it stops accepting.
 pub struct HttpServer {
     address: SocketAddr,
@@ -21,9 +27,42 @@
     serving: JoinHandle<()>,
 }
 
+impl HttpListener {
+    /// Binds an address.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        Ok(Self { listener, address })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Answers each request by `handle`; `part` starts the server's log lines.
+    pub fn serve<H, F, B>(self, part: &'static str, handle: H) -> HttpServer
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let (stop, stopped) = oneshot::channel();
+        let serving = tokio::spawn(serve(self.listener, part, handle, stopped));
+        HttpServer {
+            address: self.address,
+            stop,
+            serving,
+        }
+    }
+}
+
 impl HttpServer {
-    /// Binds an address and answers each request by `handle`; `part` starts its log
-    /// lines.
+    /// Binds an address and serves it; see [`HttpListener::serve`].
     ///
     /// # Errors
     /// Fails if the address cannot be bound.
@@ -38,15 +77,7 @@
         B: Body<Data = Bytes> + Send + 'static,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
-        let (stop, stopped) = oneshot::channel();
-        let serving = tokio::spawn(serve(listener, part, handle, stopped));
-        Ok(Self {
-            address,
-            stop,
-            serving,
-        })
+        Ok(HttpListener::bind(address).await?.serve(part, handle))
     }
 
     /// Where it listens.
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -8,16 +8,15 @@
 use super::{Announcer, PrefixCache, json};
 use crate::{
     agent::{Announcement, REQUEST_ID},
+    http_server::{HttpListener, HttpServer},
     units::*,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde_json::{Value, json};
 use std::{
     collections::HashMap,
-    convert::Infallible,
     io,
     net::SocketAddr,
     sync::{
@@ -26,7 +25,6 @@
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
-use tokio::net::TcpListener;
 
 /// How often decoded tokens are emitted at the most.
 const EMIT_INTERVAL_MS: u64 = 2;
@@ -111,7 +109,7 @@
 /// A running stand-in engine.
 pub struct Engine {
     shared: Arc<Shared>,
-    address: SocketAddr,
+    server: HttpServer,
     announcer: Option<Announcer>,
 }
 
@@ -130,8 +128,8 @@
     /// # Errors
     /// Fails if the address cannot be bound.
     pub async fn bind(settings: EngineSettings) -> io::Result<Self> {
-        let listener = TcpListener::bind(settings.listen).await?;
-        let address = listener.local_addr()?;
+        let listener = HttpListener::bind(settings.listen).await?;
+        let address = listener.address();
         let announcer = settings.announce.map(|agent| {
             let announcement = Announcement {
                 service: settings.service.clone(),
@@ -157,17 +155,21 @@
             counters: Counters::default(),
             settings,
         });
-        tokio::spawn(serve(listener, Arc::clone(&shared)));
+        let answering = Arc::clone(&shared);
+        let server = listener.serve("stand-in", move |request| {
+            let shared = Arc::clone(&answering);
+            async move { shared.answer(request).await }
+        });
         Ok(Self {
             shared,
-            address,
+            server,
             announcer,
         })
     }
 
     /// Where it takes requests.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.server.address()
     }
 
     /// Leaves, and waits until nothing runs.
@@ -183,21 +185,6 @@
     }
 }
 
-async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    loop {
-        let stream = crate::accept::accept(&listener, "stand-in").await;
-        let _ = stream.set_nodelay(true);
-        let shared = Arc::clone(&shared);
-        let service = service_fn(move |request| {
-            let shared = Arc::clone(&shared);
-            async move { Ok::<_, Infallible>(shared.answer(request).await) }
-        });
-        let connection = hyper::server::conn::http1::Builder::new()
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(connection);
-    }
-}
-
 impl Shared {
     async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<EngineBody> {
         let path = request.uri().path().to_string();
