Replace a connection to an engine that is silent before its answer

Cause: found by reading. The agent waited without a limit for the head of an answer, so a connection that went silent there left its caller without one until the deadline. In mid-stream a silence of 10 s counted as a broken stream: an engine that computed a long prompt was given up after three of them. Change: after 2 s of silence, before the head too, the engine is asked for the rest on a new connection; only failures count, three in a row. Before: an answer that is not streamed came not at all (60 s); after: it comes whole. With silences counted as failures a prefill of 20 s is given up; as changed, it is not.

--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -13,18 +13,24 @@
 use hyper::{Method, Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use std::{net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 /// The header that names a request to an engine, for cancel and resume.
 pub const REQUEST_ID: &str = "guavacove-request-id";
 /// How long a connection to the target may take to be made.
 const CONNECT_TIMEOUT_MS: u64 = 1000;
-/// How long an engine may be silent within an answer before it is asked again
-/// on a new connection.
-const STREAM_SILENCE_MS: u64 = 10_000;
+/// How long an engine may be silent before it is asked for the rest of an answer on
+/// a new connection, as the old one may have gone silent for good.
+const ENGINE_SILENCE_MS: u64 = 2000;
+/// How long an engine may take to begin the rest of an answer.
+const RESUME_TIMEOUT_MS: u64 = 2000;
 /// How long a target may take to accept an order.
 const ORDER_TIMEOUT_MS: u64 = 2000;
-/// How often a broken stream is resumed before it is given up.
+/// How often an answer that breaks, or an engine that does not resume it, is tried
+/// again before the answer is given up.
 const RESUMES: u32 = 3;
 /// The longest answer that is kept for a resend.
 pub const RECORDED_BYTES: usize = 16 * 1024;
@@ -148,9 +154,45 @@
 enum Read {
     Whole,
     Broken,
+    /// Nothing came for a while.
+    Silent,
+    Cancelled,
+}
+
+/// What became of a message to the target.
+enum Sent {
+    Answered(Response<Incoming>),
+    Failed(CallError),
     Cancelled,
 }
 
+/// Sends a request and waits for the head of its answer.
+async fn begin(
+    announcement: &Announcement,
+    request: RequestId,
+    message: Request<Full<Bytes>>,
+    answer: &Answer,
+    keep: bool,
+) -> Sent {
+    let sending = send(announcement.address, message);
+    tokio::pin!(sending);
+    loop {
+        let silence = sleep(Duration::from_millis(ENGINE_SILENCE_MS));
+        tokio::select! {
+            sent = &mut sending => return match sent {
+                Ok(response) => Sent::Answered(response),
+                Err(error) => Sent::Failed(error),
+            },
+            () = answer.cancelled(), if !keep => return Sent::Cancelled,
+            () = silence, if announcement.is_engine => {
+                if let Ok(resumed) = resume(announcement, request, 0).await {
+                    return Sent::Answered(resumed);
+                }
+            }
+        }
+    }
+}
+
 /// Dispatches a request and passes the answer on; returns what became of it.
 pub async fn run(
     announcement: &Announcement,
@@ -159,24 +201,21 @@
     head: &Dispatched,
     answer: &Answer,
 ) -> Outcome {
-    let address = announcement.address;
-    let sent = tokio::select! {
-        sent = send(address, message) => sent,
-        () = answer.cancelled(), if !head.keep_outcome => {
-            cancel(announcement, request);
-            answer.end(Ending::Failed(Verdict::MayHaveRun, Reason::TargetFailed));
-            return Outcome::MayHaveRun;
-        }
-    };
-    let mut response = match sent {
-        Ok(response) => response,
-        Err(CallError(verdict)) => {
+    let keep = head.keep_outcome;
+    let mut response = match begin(announcement, request, message, answer, keep).await {
+        Sent::Answered(response) => response,
+        Sent::Failed(CallError(verdict)) => {
             answer.end(Ending::Failed(verdict, Reason::TargetFailed));
             return match verdict {
                 Verdict::NotRun => Outcome::NotRun,
                 _ => Outcome::MayHaveRun,
             };
         }
+        Sent::Cancelled => {
+            cancel(announcement, request);
+            answer.end(Ending::Failed(Verdict::MayHaveRun, Reason::TargetFailed));
+            return Outcome::MayHaveRun;
+        }
     };
     let status = response.status().as_u16();
     let headers = end_to_end(response.headers());
@@ -190,9 +229,10 @@
         tail: Vec::new(),
         kept: Vec::new(),
     };
-    let mut resumes = 0;
+    let mut failures = 0;
     loop {
-        let read = read(&mut response, answer, &mut body, head.keep_outcome).await;
+        let waits = keep || !announcement.is_engine;
+        let read = read(&mut response, answer, &mut body, keep, waits).await;
         let whole = matches!(read, Read::Whole)
             && (!announcement.is_engine || !is_stream || body.has_done_mark());
         match read {
@@ -202,11 +242,17 @@
                 answer.end(Ending::Failed(Verdict::MayHaveRun, Reason::TargetFailed));
                 return Outcome::MayHaveRun;
             }
-            _ if announcement.is_engine && resumes < RESUMES => {
-                resumes += 1;
+            Read::Silent if failures < RESUMES => {
+                match resume(announcement, request, body.length).await {
+                    Ok(resumed) => (response, failures) = (resumed, 0),
+                    Err(_) => failures += 1,
+                }
+            }
+            _ if announcement.is_engine && failures < RESUMES => {
+                failures += 1;
                 match resume(announcement, request, body.length).await {
                     Ok(resumed) => response = resumed,
-                    Err(_) => resumes = RESUMES,
+                    Err(_) => failures = RESUMES,
                 }
             }
             _ => {
@@ -231,15 +277,17 @@
     }
 }
 
+/// Reads a response until it ends, breaks or, unless it `waits`, is silent.
 async fn read(
     response: &mut Response<Incoming>,
     answer: &Answer,
     body: &mut Body,
     keep: bool,
+    waits: bool,
 ) -> Read {
     loop {
         let frame = tokio::select! {
-            frame = timeout(Duration::from_millis(STREAM_SILENCE_MS), response.frame()) => frame,
+            frame = timeout(Duration::from_millis(ENGINE_SILENCE_MS), response.frame()) => frame,
             () = answer.cancelled(), if !keep => return Read::Cancelled,
         };
         match frame {
@@ -251,8 +299,8 @@
             }
             Ok(None) => return Read::Whole,
             Ok(Some(Err(_))) => return Read::Broken,
-            Err(_) if keep => {}
-            Err(_) => return Read::Broken,
+            Err(_) if waits => {}
+            Err(_) => return Read::Silent,
         }
     }
 }
@@ -274,10 +322,10 @@
 ) -> Result<Response<Incoming>, CallError> {
     tracing::warn!("agent: resumes {request} at byte {offset}");
     let message = engine_request(Method::GET, request, &format!("?offset={offset}"));
-    let response = send(announcement.address, message).await?;
-    match response.status().is_success() {
-        true => Ok(response),
-        false => Err(CallError(Verdict::MayHaveRun)),
+    let sending = send(announcement.address, message);
+    match timeout(Duration::from_millis(RESUME_TIMEOUT_MS), sending).await {
+        Ok(Ok(response)) if response.status().is_success() => Ok(response),
+        _ => Err(CallError(Verdict::MayHaveRun)),
     }
 }
 
--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -186,6 +186,9 @@
     /// its agent's announcement address
     #[argh(option)]
     announce: Option<SocketAddr>,
+    /// the address that its agent is told (default: where it listens)
+    #[argh(option)]
+    advertise: Option<SocketAddr>,
     /// the service that it serves (default: drafts)
     #[argh(option, default = "ServiceName::from(\"drafts\")")]
     service: ServiceName,
@@ -385,6 +388,7 @@
     async fn run(self) -> Result<(), CommandError> {
         let settings = EngineSettings {
             announce: self.announce,
+            advertise: self.advertise,
             checks_fencing: self.checks_fencing,
             prefill_tokens_per_s: self.prefill_tokens_per_s,
             decode_tokens_per_s: self.decode_tokens_per_s,
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -38,6 +38,8 @@
     pub listen: SocketAddr,
     /// Its agent's announcement address; none announces nothing.
     pub announce: Option<SocketAddr>,
+    /// The address that its agent is told; where it listens if unset.
+    pub advertise: Option<SocketAddr>,
     /// The service that it serves.
     pub service: ServiceName,
     /// Prompt tokens computed a second, one prompt at a time.
@@ -62,6 +64,7 @@
         Self {
             listen,
             announce: None,
+            advertise: None,
             service,
             prefill_tokens_per_s: 20_000,
             decode_tokens_per_s: 200,
@@ -133,7 +136,7 @@
         let announcer = settings.announce.map(|agent| {
             let announcement = Announcement {
                 service: settings.service.clone(),
-                address,
+                address: settings.advertise.unwrap_or(address),
                 slots: settings.slots,
                 kv_tokens: settings.kv_tokens,
                 is_engine: true,
@@ -302,7 +305,7 @@
             is_chat,
             id,
         };
-        let stream = Arc::new(EngineStream::default());
+        let stream = Arc::new(EngineStream::new(job.is_stream));
         let streams = &self.streams;
         streams
             .lock()
--- a/src/standin/engine/stream.rs
+++ b/src/standin/engine/stream.rs
@@ -23,13 +23,22 @@
     cancelled: bool,
 }
 
-#[derive(Default)]
 pub struct EngineStream {
+    is_stream: bool,
     state: Mutex<StreamState>,
     changed: Notify,
 }
 
 impl EngineStream {
+    /// An empty answer; `is_stream` if it is sent as events.
+    pub(super) fn new(is_stream: bool) -> Self {
+        Self {
+            is_stream,
+            state: Mutex::default(),
+            changed: Notify::new(),
+        }
+    }
+
     /// Appends bytes; returns whether the stream is cancelled.
     pub(super) fn append(&self, bytes: &[u8]) -> bool {
         let mut state = self.state.lock().expect("no holder panics");
@@ -77,13 +86,17 @@
 
 /// A response that follows a stream from an offset on.
 pub fn follow(stream: Arc<EngineStream>, offset: usize) -> Response<EngineBody> {
+    let kind = match stream.is_stream {
+        true => "text/event-stream",
+        false => "application/json",
+    };
     let frames = stream::unfold((stream, offset), |(stream, offset)| async move {
         let bytes = stream.after(offset).await?;
         let offset = offset + bytes.len();
         Some((Ok(Frame::data(bytes)), (stream, offset)))
     });
     let mut response = Response::new(Either::Right(StreamBody::new(frames.boxed())));
-    let events = hyper::header::HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert("content-type", events);
+    let kind = hyper::header::HeaderValue::from_static(kind);
+    response.headers_mut().insert("content-type", kind);
     response
 }
--- a/tests/bad_links.rs
+++ b/tests/bad_links.rs
@@ -4,6 +4,9 @@
 
 use support::*;
 
+/// An engine's connection that is silent is replaced within this time.
+const TARGET_SILENCE_MS: u64 = 2500;
+
 async fn one_slow_engine() -> System {
     let engine = ["--decode-tokens-per-s", "40", "--slots", "64"];
     System::builder()
@@ -119,6 +122,65 @@
     assert!(answer.is_whole_stream(200), "{} bytes", answer.body.len());
 }
 
+/// The connection to the engine goes silent, before its first token and in
+/// mid-stream; new ones work.
+async fn a_target_connection_goes_silent() {
+    let engine = [
+        "--prefill-tokens-per-s",
+        "50",
+        "--decode-tokens-per-s",
+        "40",
+    ];
+    let system = System::builder().entries(1).engine(&engine).proxied();
+    let mut system = system.start().await;
+    let caller = system.caller(0, LEDGERWELL);
+    // The prompt takes 2 s.
+    let prompt = "x".repeat(400);
+    let call = tokio::spawn(async move { caller.complete(&prompt, 200, true).await });
+    for _ in 0..2 {
+        sleep_ms(1000).await;
+        let proxy = system.target("engine-1").engine_link.as_ref();
+        proxy.unwrap().silence_open();
+        sleep_ms(TARGET_SILENCE_MS).await;
+    }
+    let answer = call.await.unwrap();
+    assert!(answer.is_whole_stream(200), "{answer:?}");
+    let runs = get_json(system.target("engine-1").address, "/runs").await;
+    assert_eq!(runs[answer.id()], 1, "{runs}");
+}
+
+/// The same before the head of an answer that is not streamed.
+async fn a_target_connection_is_silent_before_the_head() {
+    let engine = ["--decode-tokens-per-s", "40"];
+    let system = System::builder().entries(1).engine(&engine).proxied();
+    let mut system = system.start().await;
+    let caller = system.caller(0, LEDGERWELL);
+    let call = tokio::spawn(async move { caller.complete("x", 100, false).await });
+    sleep_ms(1000).await;
+    let proxy = system.target("engine-1").engine_link.as_ref();
+    proxy.unwrap().silence_open();
+    let answer = call.await.unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let tokens: String = (0..100)
+        .map(|n| guavacove::standin::token_text(answer.id(), n))
+        .collect();
+    assert_eq!(
+        answer.json()["choices"][0]["text"],
+        tokens.as_str(),
+        "{answer:?}"
+    );
+}
+
+/// An engine that computes a long prompt says nothing for long; it is waited for.
+async fn an_engine_takes_its_time() {
+    let engine = ["--prefill-tokens-per-s", "5"];
+    let system = System::builder().entries(1).engine(&engine).start().await;
+    // The prompt takes 20 s; the tier's deadline is 60 s.
+    let caller = system.caller(0, LEDGERWELL);
+    let answer = caller.complete(&"x".repeat(400), 5, true).await;
+    assert!(answer.is_whole_stream(5), "{answer:?}");
+}
+
 /// A target dies with its agent alive: what its agent cannot connect to gets no
 /// more work at once, so that the budget of retries is not spent on it.
 async fn a_dead_target_is_avoided() {
@@ -133,6 +195,9 @@
 }
 
 cases! {
+    a_stream_resumes_when_its_target_connection_is_silent => a_target_connection_goes_silent();
+    an_answer_comes_when_its_target_connection_is_silent => a_target_connection_is_silent_before_the_head();
+    a_slow_prefill_is_waited_for => an_engine_takes_its_time();
     a_dead_target_gets_no_more_work => a_dead_target_is_avoided();
     streams_resume_when_links_go_silent => links_go_silent();
     a_stream_over_a_dead_link_is_not_passed_off_as_whole => a_link_stays_silent();
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -28,6 +28,8 @@
     pub address: SocketAddr,
     /// Between entries and the agent, if the system is proxied.
     pub link: Option<Proxy>,
+    /// Between the agent and an engine, if the system is proxied.
+    pub engine_link: Option<Proxy>,
 }
 
 pub struct Control {
@@ -368,6 +370,13 @@
         words.extend(["--listen".into(), address.to_string()]);
         words.extend(["--announce".into(), announce.to_string()]);
         words.extend(options.iter().cloned());
+        let engine_link = match self.proxied && command == "stand-in-engine" {
+            true => Some(Proxy::spawn(address).await),
+            false => None,
+        };
+        if let Some(proxy) = &engine_link {
+            words.extend(["--advertise".into(), proxy.address.to_string()]);
+        }
         let log = system.folder.path().join(format!("{name}.target.log"));
         let process = Process::spawn(words, log);
         system.targets.push(Target {
@@ -376,6 +385,7 @@
             process,
             address,
             link,
+            engine_link,
         });
     }
 }
