Let every entry ask the same agents after the holder of a prefix

Ruled out: a memory in each entry of who served a prefix, which 400 entries would each have to learn; cache events, which come late and with gaps. Change: the further agents come in the order of the rendezvous hash too, those whose waits differ by less than 250 ms counting as equal. No state; entries agree.

--- a/src/entry/routing.rs
+++ b/src/entry/routing.rs
@@ -1,7 +1,13 @@
 //! Which agents to ask for a place, in which order: pure decisions.
 
 use crate::units::ProcessName;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::{
+    cmp::Reverse,
+    hash::{DefaultHasher, Hash, Hasher},
+};
+
+/// Waits that differ by less count as equal.
+const EQUAL_WAIT_MS: u64 = 250;
 
 /// How a request is brought to an agent.
 #[derive(
@@ -59,7 +65,9 @@
 }
 
 /// The order in which to ask. The agent that likely holds the prompt's prefix
-/// comes first; the others follow by load, equals in an order drawn from `seed`.
+/// comes first; the others follow by load. Equals come in an order that every entry
+/// draws alike from the prefix, so that a prefix spreads over few agents; without a
+/// prefix it is drawn from `seed`.
 /// A push takes the less loaded of two agents drawn from `seed`.
 pub fn order(
     policy: RoutingPolicy,
@@ -75,15 +83,15 @@
         order.sort_by_key(|index| candidates[*index].open_requests);
         return order;
     }
-    order.sort_by_key(|index| (candidates[*index].wait_ms, drawn(*index)));
-    let holder = prefix
-        .filter(|_| policy.follows_prefix())
-        .and_then(|prefix| {
-            (0..candidates.len()).max_by_key(|index| hash((prefix, &candidates[*index].name)))
-        });
-    if let Some(holder) = holder {
-        order.retain(|index| *index != holder);
-        order.insert(0, holder);
+    let drawn_from = prefix.filter(|_| policy.follows_prefix());
+    let Some(prefix) = drawn_from else {
+        order.sort_by_key(|index| (candidates[*index].wait_ms, drawn(*index)));
+        return order;
+    };
+    order.sort_by_key(|index| Reverse(hash((prefix, &candidates[*index].name))));
+    // A stable sort: agents of about the same wait keep the order of the prefix.
+    if let Some((_, others)) = order.split_first_mut() {
+        others.sort_by_key(|index| candidates[*index].wait_ms / EQUAL_WAIT_MS);
     }
     order
 }
