Check documents in a file of their own

Ruled out: a folder; two files read well beside each other. Change: document_check.rs reads a document and names its faults, document.rs arranges it. In the test of rates a bound stood twice. Conclusion: no behaviour changed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control_view;
 pub mod dev;
 pub mod document;
+pub mod document_check;
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 pub mod document_types;
 pub mod entry;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -74,26 +74,14 @@
     let (answered, refused) = offer(&system, &[0, 1], duration_s).await;
     println!("both entries: {answered} answered, {refused} refused");
     let lease = REQUESTS_PER_S * LIMIT_LEASE_MS / 1000;
-    assert!(
-        answered <= REQUESTS_PER_S * duration_s + lease,
-        "{answered}"
-    );
-    assert!(
-        answered * 10 >= REQUESTS_PER_S * duration_s * 8,
-        "{answered}"
-    );
+    let offered = REQUESTS_PER_S * duration_s;
+    let allowed = offered * 8 / 10..=offered + lease;
+    assert!(allowed.contains(&answered), "{answered}");
     assert!(refused > 0);
     system.entries[0].0.kill();
     let (answered, _) = offer(&system, &[1], duration_s).await;
     println!("one entry killed: {answered} answered by the other");
-    assert!(
-        answered <= REQUESTS_PER_S * duration_s + lease,
-        "{answered}"
-    );
-    assert!(
-        answered * 10 >= REQUESTS_PER_S * duration_s * 8,
-        "{answered}"
-    );
+    assert!(allowed.contains(&answered), "{answered}");
 }
 
 /// Tokens in progress stay within the contract, over both entries.
