Let the stand-in engine report its load late, and push by that

Cause: the push baseline was given the agent's own count, exact and 0 to 3 s old; real engines report late. Ruled out: cache events of the stand-in: nothing would read them, as an agent knows every prompt that its engine was given. Change: `GET /load` of the stand-in is 1 s old; an agent asks it every 4 s for entries that push, so that loads are 1 to 5 s old. Before: no reports. After: the test of the lag passes, and checks, limits, bad_links, outcomes and routing as before.

--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -346,9 +346,9 @@
         self.holders.len()
     }
 
-    /// Whether the target holds all that it takes and as much again as may wait.
-    pub fn is_full(&self) -> bool {
-        self.holders.len() + self.waiting.len() >= self.capacity.slots + self.queue_requests
+    /// Whether a target that holds this many requests takes no more, its queue included.
+    pub fn is_full_with(&self, open_requests: usize) -> bool {
+        open_requests + self.waiting.len() >= self.capacity.slots + self.queue_requests
     }
 
     /// The tokens held by grants and dispatches.
--- a/src/agent/dispatcher.rs
+++ b/src/agent/dispatcher.rs
@@ -1,5 +1,7 @@
 //! Reservations, dispatches and answers at one target.
 
+mod runs;
+
 use super::{
     Admission, Announcement, Capacity, Decision, Fate,
     announcement::ANNOUNCEMENT_LEASE_MS,
@@ -29,7 +31,7 @@
 use tracing::Instrument;
 
 /// How often the load is reported to entries that push.
-const LOAD_REPORT_MS: u64 = 3000;
+const LOAD_REPORT_MS: u64 = 4000;
 /// How long a reservation waits for a newer document.
 const DOCUMENT_WAIT_MS: u64 = 1000;
 /// How long an answer that nobody fetches is kept.
@@ -322,146 +324,6 @@
         }
     }
 
-    fn dispatch(
-        self: &Arc<Self>,
-        request: RequestId,
-        attempt: Attempt,
-        grant: GrantId,
-        head: Dispatched,
-        link: &LinkSender<FromAgent>,
-    ) {
-        let target = self.open_target(None);
-        let started = match &target {
-            Ok(_) => self
-                .admission()
-                .start(request, grant, self.now_ms())
-                .map_err(|_| Reason::GrantUnknown),
-            Err(reason) => {
-                self.release(request);
-                Err(reason.clone())
-            }
-        };
-        let announcement = match (target, started) {
-            (Ok(announcement), Ok(())) => announcement,
-            (_, Err(reason)) | (Err(reason), _) => {
-                let verdict = Verdict::NotRun;
-                let _ = link.try_send(FromAgent::Failed {
-                    request,
-                    verdict,
-                    reason,
-                });
-                return;
-            }
-        };
-        let answer = Arc::new(Answer::new(request));
-        self.answers().insert(request, (grant, Arc::clone(&answer)));
-        let span = tracing::info_span!("agent.dispatch", %request, %attempt, target = %self.name);
-        telemetry::continue_trace(&span, head.traceparent.as_deref());
-        let (pumped, link) = (Arc::clone(&answer), link.clone());
-        tokio::spawn(async move { pumped.pump(link, 0).await });
-        let dispatcher = Arc::clone(self);
-        tokio::spawn(
-            async move {
-                dispatcher
-                    .run(request, grant, announcement, head, answer)
-                    .await;
-            }
-            .instrument(span),
-        );
-    }
-
-    async fn run(
-        &self,
-        request: RequestId,
-        grant: GrantId,
-        announcement: Arc<Announcement>,
-        head: Dispatched,
-        answer: Arc<Answer>,
-    ) {
-        let began = Instant::now();
-        let call = tracing::info_span!("target.call", %request);
-        let address = announcement.address;
-        let message = call.in_scope(|| target::prepare(request, address, &head));
-        let outcome = match message {
-            Some(message) => {
-                let run = target::run(&announcement, request, message, &head, &answer);
-                let outcome = run.instrument(call).await;
-                if outcome == Outcome::NotRun {
-                    self.lose_target();
-                }
-                outcome
-            }
-            None => {
-                answer.end(Ending::Failed(Verdict::NotRun, Reason::BadRequest));
-                Outcome::NotRun
-            }
-        };
-        let whole = matches!(outcome, Outcome::Answered(_) | Outcome::AnsweredLong);
-        metrics::prompt(head.prompt_tokens, whole);
-        let took_ms = whole.then(|| began.elapsed().as_millis() as u64);
-        let outcome = match head.keep_outcome {
-            true => outcome,
-            false if outcome == Outcome::NotRun => Outcome::NotRun,
-            false => Outcome::MayHaveRun,
-        };
-        let decisions = self
-            .admission()
-            .finish(grant, outcome, took_ms, self.now_ms());
-        self.deliver(decisions);
-        let fetched = answer.end_acknowledged();
-        let _ = tokio::time::timeout(Duration::from_millis(UNFETCHED_MS), fetched).await;
-        let mut answers = self.answers();
-        if answers
-            .get(&request)
-            .is_some_and(|(held, _)| *held == grant)
-        {
-            answers.remove(&request);
-        }
-    }
-
-    /// The target took no connection: it is gone until it announces itself again.
-    fn lose_target(&self) {
-        tracing::warn!("agent: the target of {} takes no connection", self.name);
-        *self.target.lock().expect("no holder panics") = None;
-        self.publish_target();
-        let refused = self.admission().refuse_waiting(Reason::NoTarget);
-        self.deliver(refused);
-    }
-
-    /// Continues an answer on a new link. A dispatch that never came is fenced.
-    fn resume(
-        self: &Arc<Self>,
-        request: RequestId,
-        grant: GrantId,
-        offset: u64,
-        link: &LinkSender<FromAgent>,
-    ) {
-        if let Some(answer) = self.answer(request, grant) {
-            let link = link.clone();
-            tokio::spawn(async move { answer.pump(link, offset).await });
-            return;
-        }
-        let verdict = match self.fence(grant) {
-            Outcome::NotRun => Verdict::NotRun,
-            _ => Verdict::MayHaveRun,
-        };
-        let reason = Reason::LinkLost;
-        let _ = link.try_send(FromAgent::Failed {
-            request,
-            verdict,
-            reason,
-        });
-    }
-
-    fn fence(&self, grant: GrantId) -> Outcome {
-        match self.admission().fence(grant) {
-            Fate::NotRun => Outcome::NotRun,
-            Fate::Running => Outcome::Open,
-            Fate::Finished(outcome) => outcome,
-            Fate::Unknown => Outcome::MayHaveRun,
-        }
-    }
-
     /// Takes an announcement of the target.
     pub fn announce(&self, announcement: Announcement) {
         let capacity = announcement.capacity();
@@ -498,9 +360,15 @@
     let mut interval = tokio::time::interval(Duration::from_millis(LOAD_REPORT_MS));
     while !link.is_closed() {
         interval.tick().await;
+        let engine = dispatcher.announced().filter(|target| target.is_engine);
+        let reported = match engine {
+            Some(engine) => target::load(engine.address).await,
+            None => None,
+        };
         let (open_requests, is_full) = {
             let admission = dispatcher.admission();
-            (admission.open_requests(), admission.is_full())
+            let open_requests = reported.map_or(admission.open_requests(), |l| l.open_requests);
+            (open_requests, admission.is_full_with(open_requests))
         };
         let _ = link.try_send(FromAgent::Load {
             open_requests,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,6 +5,7 @@
 mod announcement;
 mod answer;
 mod dispatcher;
+mod load_report;
 mod orders;
 mod outcomes;
 mod pace;
@@ -14,6 +15,7 @@
 pub use self::{
     admission::{Admission, Capacity, Decision, Fate, StartError},
     announcement::Announcement,
+    load_report::LoadReport,
     server::{Agent, AgentStartError},
     target::{REQUEST_ID, end_to_end},
 };
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -1,6 +1,6 @@
 //! Calls to the target beside the agent.
 
-use super::{Announcement, answer::Answer, answer::Ending};
+use super::{Announcement, LoadReport, answer::Answer, answer::Ending};
 use crate::{
     control::command::{Outcome, RecordedAnswer},
     telemetry,
@@ -27,6 +27,8 @@
 const ENGINE_SILENCE_MS: u64 = 2000;
 /// How long an engine may take to begin the rest of an answer.
 const RESUME_TIMEOUT_MS: u64 = 2000;
+/// How long an engine may take to report its load.
+const LOAD_TIMEOUT_MS: u64 = 500;
 /// How long a target may take to accept an order.
 const ORDER_TIMEOUT_MS: u64 = 2000;
 /// How often an answer that breaks, or an engine that does not resume it, is tried
@@ -339,6 +341,15 @@
     answered.is_ok_and(|answer| answer.is_ok_and(|response| response.status().is_success()))
 }
 
+/// The load that an engine reports; `None` if it reports none.
+pub async fn load(address: SocketAddr) -> Option<LoadReport> {
+    let question = Request::get("/load").header("host", "engine");
+    let sending = send(address, question.body(Full::default()).ok()?);
+    let response = timeout(Duration::from_millis(LOAD_TIMEOUT_MS), sending).await;
+    let body = response.ok()?.ok()?.into_body().collect().await.ok()?;
+    serde_json::from_slice(&body.to_bytes()).ok()
+}
+
 /// Tells the engine that nobody waits for an answer any more.
 fn cancel(announcement: &Announcement, request: RequestId) {
     if announcement.is_engine {
--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -204,6 +204,9 @@
     /// tokens held at one time (default: 32768)
     #[argh(option, default = "TokenCount(32_768)")]
     kv_tokens: TokenCount,
+    /// how old its load reports are, in milliseconds (default: 1000)
+    #[argh(option, default = "1000")]
+    load_lag_ms: u64,
     /// refuse orders with an old fencing number
     #[argh(switch)]
     checks_fencing: bool,
@@ -395,6 +398,7 @@
             slots: self.slots,
             kv_tokens: self.kv_tokens,
             cache_tokens: self.cache_tokens,
+            load_lag_ms: self.load_lag_ms,
             ..EngineSettings::new(self.listen, self.service)
         };
         let engine = Engine::bind(settings).await.map_err(CommandError::failed)?;
