Count goodput when an answer is whole, and explain how it ended

Cause: the metric counted a stream as good when it began, so one that broke off or came late was goodput; `explain` ended with "the answer began" and did not say why an agent was asked first. Ruled out: counting at the agent, which knows no deadline of a tier. Before: the two new lines of `explain` were missing. Conclusion: no test reads the metric itself.

--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -2,6 +2,7 @@
 
 use super::{
     agent_links::{Event, Exchange},
+    delivery::Delivery,
     limits::Permit,
     refusal::Refusal,
 };
@@ -162,6 +163,7 @@
     buffered: Option<Bytes>,
     is_event_stream: bool,
     done: bool,
+    delivery: Option<Delivery>,
     _permit: Option<Permit>,
 }
 
@@ -192,9 +194,18 @@
             buffered,
             is_event_stream,
             done: false,
+            delivery: None,
             _permit: permit,
         }))
     }
+
+    /// Notes how the delivery ends, at once if the body is all here.
+    pub fn deliver(&mut self, delivery: Delivery) {
+        match self {
+            Self::Whole(_) => delivery.finish(),
+            Self::Relay(relay) => relay.delivery = Some(delivery),
+        }
+    }
 }
 
 impl Relay {
@@ -209,10 +220,16 @@
             Arrival::Part(bytes) => Poll::Ready(Some(Ok(bytes))),
             Arrival::End => {
                 self.done = true;
+                if let Some(delivery) = self.delivery.take() {
+                    delivery.finish();
+                }
                 Poll::Ready(None)
             }
             Arrival::Broken(verdict, reason) => {
                 self.done = true;
+                if let Some(delivery) = self.delivery.take() {
+                    delivery.break_off(verdict, &reason);
+                }
                 Poll::Ready(Some(self.break_off(verdict, reason)))
             }
         }
@@ -234,6 +251,14 @@
     }
 }
 
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if let Some(delivery) = self.delivery.take() {
+            delivery.abandon();
+        }
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = io::Error;
--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -28,7 +28,12 @@
             total_tokens: TokenCount,
         },
         /// An agent was asked for a place.
-        Asked(ProcessName),
+        Asked {
+            /// The agent.
+            agent: ProcessName,
+            /// Whether its target likely holds the prompt's prefix.
+            holds_prefix: bool,
+        },
         /// It waits at an agent.
         Queued {
             /// The agent.
@@ -54,6 +59,12 @@
         Replayed,
         /// Its answer began.
         Answered(u16),
+        /// Its answer was passed on whole.
+        Delivered,
+        /// Its answer broke off.
+        Broken(Verdict, Reason),
+        /// The caller went away before its answer was whole.
+        HungUp,
         /// It was refused.
         Ended(Verdict, Reason),
     }
@@ -71,7 +82,14 @@
                 f,
                 "arrived from {customer} for {service}, tier {tier}, {total_tokens} tokens at most"
             ),
-            Self::Asked(agent) => write!(f, "asked {agent} for a place"),
+            Self::Asked {
+                agent,
+                holds_prefix: true,
+            } => write!(
+                f,
+                "asked {agent} for a place, as it likely holds the prompt's prefix"
+            ),
+            Self::Asked { agent, .. } => write!(f, "asked {agent} for a place"),
             Self::Queued {
                 agent,
                 ahead_tokens,
@@ -92,6 +110,11 @@
             }
             Self::Replayed => f.write_str("an earlier answer was on record and was passed on"),
             Self::Answered(status) => write!(f, "the answer began with status {status} (ran)"),
+            Self::Delivered => f.write_str("the answer was passed on whole"),
+            Self::Broken(verdict, reason) => {
+                write!(f, "the answer broke off: {reason} ({verdict})")
+            }
+            Self::HungUp => f.write_str("the caller went away before the answer was whole"),
             Self::Ended(verdict, reason) => write!(f, "refused: {reason} ({verdict})"),
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod agent_links;
 mod body;
 mod claims;
+mod delivery;
 mod journal;
 mod limits;
 mod places;
--- a/src/entry/places.rs
+++ b/src/entry/places.rs
@@ -86,12 +86,14 @@
             let refusal = Refusal::not_run(Reason::Shed, "every target reported that it is full");
             return Err(NoPlace::Refused(refusal.retry_after(RETRY_AFTER_MS)));
         }
+        let follows_prefix = self.policy.follows_prefix() && inbound.prefix.is_some();
         let (sender, events) = mpsc::unbounded_channel();
         let mut search = Search {
             places: self,
             inbound,
             view,
             agents,
+            holder: order.first().copied().filter(|_| follows_prefix),
             order: order.into_iter(),
             sender,
             events,
@@ -144,6 +146,8 @@
     inbound: &'a Inbound,
     view: &'a View,
     agents: Vec<Member>,
+    /// The agent whose target likely holds the prompt's prefix.
+    holder: Option<usize>,
     order: std::vec::IntoIter<usize>,
     sender: mpsc::UnboundedSender<(usize, Event)>,
     events: EventReceiver,
@@ -235,7 +239,11 @@
             .links
             .open(address, inbound.id, number, events, reserve);
         self.open.insert(number, exchange);
-        self.note(number, Step::Asked);
+        let holds_prefix = self.holder == Some(number);
+        self.note(number, |agent| Step::Asked {
+            agent,
+            holds_prefix,
+        });
     }
 
     fn note(&self, number: usize, step: impl FnOnce(ProcessName) -> Step) {
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -4,6 +4,7 @@
     agent_links::AgentLinks,
     body::{AnswerBody, AnswerHead, Arrival, Arriving},
     claims::{Claimed, Claims, Replaced},
+    delivery::Delivery,
     journal::{Journal, Step},
     limits::{EntryLimits, Permit, RetryBudget},
     places::{NoPlace, Place, Places},
@@ -97,11 +98,11 @@
         );
         let (tier, arrived) = (inbound.treatment.tier.clone(), inbound.arrived);
         match self.run(inbound).await {
-            Ok(response) => {
-                self.journal
-                    .note(id, Step::Answered(response.status().as_u16()));
-                let took_ms = arrived.elapsed().as_millis() as u64;
-                metrics::answered(&tier.name, took_ms <= tier.deadline_ms);
+            Ok(mut response) => {
+                let status = response.status().as_u16();
+                self.journal.note(id, Step::Answered(status));
+                let delivery = Delivery::begin(Arc::clone(&self.journal), id, tier, arrived);
+                response.body_mut().deliver(delivery);
                 response
             }
             Err(refusal) => {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -20,7 +20,7 @@
 static GOODPUT: LazyLock<Counter<u64>> = LazyLock::new(|| {
     global::meter("guavacove")
         .u64_counter("guavacove.goodput")
-        .with_description("Requests whose answer began within their tier's deadline, by tier")
+        .with_description("Requests whose answer was whole within their tier's deadline, by tier")
         .build()
 });
 
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -54,6 +54,8 @@
     LinkLost,
     /// The agent restarted after the dispatch.
     AgentRestarted,
+    /// The caller went away before its answer was whole.
+    CallerGone,
     /// The target broke off its answer.
     TargetFailed,
     /// The control group could not commit the claim.
@@ -93,6 +95,7 @@
             Self::GrantUnknown => "grant-unknown",
             Self::LinkLost => "link-lost",
             Self::AgentRestarted => "agent-restarted",
+            Self::CallerGone => "caller-gone",
             Self::TargetFailed => "target-failed",
             Self::ClaimUnavailable => "claim-unavailable",
             Self::InProgress => "in-progress",
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -136,6 +136,11 @@
         assert!(course.contains(words), "{words:?} is missing in:\n{course}");
     }
     assert!(explain(&again).contains("an earlier answer was on record"));
+    let streamed = system.caller(0, LEDGERWELL).complete("x", 5, true).await;
+    let course = explain(&streamed);
+    for words in ["as it likely holds the prompt's prefix", "passed on whole"] {
+        assert!(course.contains(words), "{words:?} is missing in:\n{course}");
+    }
     let unknown = "0".repeat(32);
     let output = guavacove(&["explain", &unknown, "--entry", &admin]);
     assert_eq!(output.status.code(), Some(1));
