Show operators what runs and what waits, by tier

Cause: `status` named members and versions; what waited at a target could not be seen. Ruled out: asking each agent, whom the control group need not reach. Change: agents tell it with the renewal that they send anyway; it is no change of membership, so readers are not woken by it. `status` and the console show it. Before: no such figures. Conclusion: entries report nothing in progress yet.

--- a/benches/measures.rs
+++ b/benches/measures.rs
@@ -10,7 +10,7 @@
     control::{
         ControlClient,
         command::*,
-        members::{Member, ProcessRole, TargetState},
+        members::{Member, ProcessLoad, ProcessRole, TargetState},
         orders::TargetOrders,
         rpc::{ControlRpcClient, SyncRequest},
     },
@@ -358,6 +358,7 @@
     SyncRequest {
         member,
         document_version,
+        load: ProcessLoad::default(),
         members_wanted: false,
         members_seen: None,
         orders: TargetOrders::default(),
--- a/src/agent/dispatcher.rs
+++ b/src/agent/dispatcher.rs
@@ -11,7 +11,7 @@
 use crate::{
     control::{
         command::{GrantId, Outcome},
-        members::TargetState,
+        members::{ProcessLoad, TargetState},
     },
     control_view::ControlView,
     link::LinkSender,
@@ -158,10 +158,27 @@
         self.view.announce(|member| member.target = target);
     }
 
+    /// Tells operators what runs and what waits.
+    fn report_load(&self) {
+        let (running, waiting) = {
+            let admission = self.admission();
+            (admission.running(), admission.waiting_by_tier())
+        };
+        let view = self.view.load();
+        let named = waiting
+            .into_iter()
+            .map(|(rank, count)| (view.policy.tier_name(rank), count as u64));
+        self.view.report_load(ProcessLoad {
+            running: running as u64,
+            waiting: named.collect(),
+        });
+    }
+
     /// Looks at the clock: leases, deadlines, orphans.
     pub fn tick(&self) {
         let announced = self.announced();
         self.publish_target();
+        self.report_load();
         let view = self.view.load();
         let service = announced.and_then(|a| view.policy.service(&a.service).cloned());
         let decisions = {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -5,7 +5,7 @@
     control::{
         ControlClient,
         client::ControlCallError,
-        members::ProcessRole,
+        members::{ProcessLoad, ProcessRole},
         orders::Order,
         rpc::{ApplyReply, ControlError, ControlRpcClient, StatusReply},
         server::ControlStartError,
@@ -192,8 +192,11 @@
         let behind: Vec<String> = status
             .processes
             .iter()
-            .filter(|(_, known)| *known < version)
-            .map(|(member, known)| format!("{} has version {known}", member.name))
+            .filter(|process| process.document_version < version)
+            .map(|process| {
+                let known = process.document_version;
+                format!("{} has version {known}", process.member.name)
+            })
             .collect();
         let elapsed = started.elapsed();
         if behind.is_empty() {
@@ -253,6 +256,18 @@
     Ok(())
 }
 
+impl fmt::Display for ProcessLoad {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        if self.running > 0 {
+            write!(f, ", {} in progress", self.running)?;
+        }
+        for (tier, count) in &self.waiting {
+            write!(f, ", {count} {tier} waiting")?;
+        }
+        Ok(())
+    }
+}
+
 impl fmt::Display for StatusReply {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         writeln!(
@@ -273,7 +288,8 @@
             "document version {}, {} claims",
             self.document_version, self.claims
         )?;
-        for (member, version) in &self.processes {
+        for process in &self.processes {
+            let (member, version) = (&process.member, process.document_version);
             let role = match member.role {
                 ProcessRole::Entry => "entry",
                 ProcessRole::Agent => "agent",
@@ -285,8 +301,8 @@
             };
             writeln!(
                 f,
-                "  {role} {} in {} at {}, version {version}{target}",
-                member.name, member.failure_domain, member.address
+                "  {role} {} in {} at {}, version {version}{target}{}",
+                member.name, member.failure_domain, member.address, process.load
             )?;
         }
         for (target, orders) in &self.orders {
--- a/src/console/console.js
+++ b/src/console/console.js
@@ -374,14 +374,16 @@
     $("state-summary").textContent = status.message || "";
     return;
   }
-  const behind = status.processes.filter(([, version]) => version < status.document_version).length;
+  const behind = status.processes.filter((process) => process.document_version < status.document_version).length;
   const voters = status.replicas.filter((replica) => replica.voter).length;
   $("state-summary").textContent = `Version ${status.document_version} is in force in ${status.processes.length - behind} of ${status.processes.length} processes. `
     + `Replica ${status.leader} leads in term ${status.term}; ${voters} of ${status.replicas.length} replicas vote. ${status.claims} claims are kept.`;
-  const head = element("tr", {}, ...["Process", "Failure domain", "Target", "Version"].map((word) => element("th", {}, word)));
-  const rows = status.processes.map(([member, version]) => element("tr", {},
+  const head = element("tr", {}, ...["Process", "Failure domain", "Target", "In progress", "Waiting", "Version"].map((word) => element("th", {}, word)));
+  const rows = status.processes.map(({ member, document_version: version, load }) => element("tr", {},
     element("td", {}, member.name), element("td", {}, member.failure_domain),
     element("td", {}, member.target ? member.target.service + (member.target.leaving ? " (leaving)" : "") : ""),
+    element("td", {}, load.running ? String(load.running) : ""),
+    element("td", {}, Object.entries(load.waiting).map(([tier, count]) => `${count} ${tier}`).join(", ")),
     element("td", {}, String(version))));
   $("state-table").replaceChildren(head, ...rows);
 }
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -48,6 +48,25 @@
         pub target: Option<TargetState>,
     }
 
+    /// What a process had in progress when it last renewed.
+    #[derive(Default)]
+    pub struct ProcessLoad {
+        /// Requests in progress.
+        pub running: u64,
+        /// Requests that wait, by tier.
+        pub waiting: BTreeMap<TierName, u64>,
+    }
+
+    /// A process as operators see it.
+    pub struct ProcessStatus {
+        /// The process.
+        pub member: Member,
+        /// The document that it has in force.
+        pub document_version: DocumentVersion,
+        /// See [`ProcessLoad`].
+        pub load: ProcessLoad,
+    }
+
     /// How far a reader has followed a table.
     pub struct MembersSeen {
         /// The leader's term, and whether its table had settled.
@@ -70,10 +89,9 @@
 }
 
 struct Row {
-    member: Member,
+    status: ProcessStatus,
     revision: u64,
     renewed_ms: u64,
-    document_version: DocumentVersion,
 }
 
 /// The table of one leadership.
@@ -87,28 +105,19 @@
 
 impl Members {
     /// Takes a renewal; returns whether readers see a difference.
-    pub fn renew(&mut self, member: Member, version: DocumentVersion, now_ms: u64) -> bool {
-        let known = self.rows.get_mut(&member.name);
-        match known {
-            Some(row) if row.member == member => {
-                row.renewed_ms = now_ms;
-                row.document_version = version;
-                false
-            }
-            _ => {
-                self.revision += 1;
-                let name = member.name.clone();
-                let revision = self.revision;
-                let row = Row {
-                    member,
-                    revision,
-                    renewed_ms: now_ms,
-                    document_version: version,
-                };
-                self.rows.insert(name, row);
-                true
-            }
-        }
+    pub fn renew(&mut self, status: ProcessStatus, now_ms: u64) -> bool {
+        let known = self.rows.get(&status.member.name);
+        let same = known.filter(|row| row.status.member == status.member);
+        let revision = same.map_or(self.revision + 1, |row| row.revision);
+        let is_news = same.is_none();
+        self.revision = self.revision.max(revision);
+        let row = Row {
+            status,
+            revision,
+            renewed_ms: now_ms,
+        };
+        self.rows.insert(row.status.member.name.clone(), row);
+        is_news
     }
 
     /// Removes a process that says goodbye.
@@ -130,7 +139,7 @@
             .rows
             .values()
             .filter(|row| lapsed(row))
-            .map(|row| row.member.name.clone())
+            .map(|row| row.status.member.name.clone())
             .collect();
         for name in &gone {
             self.remove(name);
@@ -150,13 +159,13 @@
         if since.is_some() && revision == self.revision {
             return None;
         }
-        let is_routable = |row: &&Row| row.member.role == ProcessRole::Agent;
+        let is_routable = |row: &&Row| row.status.member.role == ProcessRole::Agent;
         let newer = self
             .rows
             .values()
             .filter(is_routable)
             .filter(|row| row.revision > revision);
-        let present = newer.map(|row| row.member.clone()).collect();
+        let present = newer.map(|row| row.status.member.clone()).collect();
         let removed = self.removals.iter().filter(|(at, _)| *at > revision);
         let removed = removed
             .map(|(_, name)| name.clone())
@@ -174,11 +183,8 @@
         })
     }
 
-    /// Every process and the version that it has in force.
-    pub fn versions(&self) -> Vec<(Member, DocumentVersion)> {
-        self.rows
-            .values()
-            .map(|row| (row.member.clone(), row.document_version))
-            .collect()
+    /// Every process, as of its last renewal.
+    pub fn statuses(&self) -> Vec<ProcessStatus> {
+        self.rows.values().map(|row| row.status.clone()).collect()
     }
 }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -5,7 +5,7 @@
 use super::{
     command::{Command, Reply},
     limits::{LimitGrant, LimitWant, Limits},
-    members::{MEMBER_LEASE_MS, Members, SETTLING_MS},
+    members::{MEMBER_LEASE_MS, Members, ProcessStatus, SETTLING_MS},
     peers::{PeerMessage, Peers},
     rpc::*,
     state::{AcceptedDocument, ControlState},
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -97,9 +97,14 @@
                 self.members.remove(&request.member.name);
                 true
             }
-            false => self
-                .members
-                .renew(request.member.clone(), request.document_version, now_ms),
+            false => {
+                let status = ProcessStatus {
+                    member: request.member.clone(),
+                    document_version: request.document_version,
+                    load: request.load.clone(),
+                };
+                self.members.renew(status, now_ms)
+            }
         };
         let (reply, is_news) = self.reply_to(&request, now_ms);
         if is_news || request.wait_ms == 0 {
@@ -211,7 +216,7 @@
             document_version: self.control.document().version,
             claims: self.control.claim_count() as u64,
             orders: self.control.orders().clone().into_iter().collect(),
-            processes: self.members.versions(),
+            processes: self.members.statuses(),
         }
     }
 }
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -21,6 +21,8 @@
         pub member: Member,
         /// The document that it has in force.
         pub document_version: DocumentVersion,
+        /// What it has in progress.
+        pub load: ProcessLoad,
         /// How far it has followed the members; `None` if it needs none.
         pub members_wanted: bool,
         /// See `members_wanted`.
@@ -97,8 +99,8 @@
         pub claims: u64,
         /// The state that each target is to be in, where it was ordered.
         pub orders: Vec<(TargetName, TargetOrders)>,
-        /// Every process, and the version that it has in force.
-        pub processes: Vec<(Member, DocumentVersion)>,
+        /// Every process, as of its last renewal.
+        pub processes: Vec<ProcessStatus>,
     }
 }
 
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -15,7 +15,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{
     collections::BTreeMap,
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 use tokio::sync::watch;
@@ -68,6 +68,7 @@
     view: Arc<ArcSwap<View>>,
     versions: watch::Receiver<DocumentVersion>,
     announcement: watch::Sender<Member>,
+    load: Arc<Mutex<ProcessLoad>>,
     client: Arc<ControlClient>,
 }
 
@@ -78,9 +79,11 @@
         let (version_sender, versions) = watch::channel(DocumentVersion(0));
         let (announcement, announced) = watch::channel(member);
         let arguments = (Arc::clone(&view), version_sender);
+        let load = Arc::new(Mutex::new(ProcessLoad::default()));
         let renewing = Renewing {
             client: Arc::clone(&client),
             view: Arc::clone(&view),
+            load: Arc::clone(&load),
             announced,
         };
         threads::spawn_control("control-view", async move {
@@ -93,10 +96,16 @@
             view,
             versions,
             announcement,
+            load,
             client,
         }
     }
 
+    /// Tells operators what this process has in progress, with its next renewal.
+    pub fn report_load(&self, load: ProcessLoad) {
+        *self.load.lock().expect("no holder panics") = load;
+    }
+
     /// The view at this moment.
     pub fn load(&self) -> Arc<View> {
         self.view.load_full()
@@ -123,7 +132,7 @@
     /// Says goodbye to the control group.
     pub async fn goodbye(&self) {
         let member = self.announcement.borrow().clone();
-        let request = request(member, &self.load(), true);
+        let request = request(member, ProcessLoad::default(), &self.load(), true);
         let call = self
             .client
             .call(GOODBYE_TIMEOUT_MS, GOODBYE_TIMEOUT_MS, |client| {
@@ -134,8 +143,9 @@
     }
 }
 
-fn request(member: Member, view: &View, goodbye: bool) -> SyncRequest {
+fn request(member: Member, load: ProcessLoad, view: &View, goodbye: bool) -> SyncRequest {
     SyncRequest {
+        load,
         document_version: view.policy.version,
         members_wanted: member.role == ProcessRole::Entry,
         members_seen: view.members_seen.clone(),
@@ -149,6 +159,7 @@
 struct Renewing {
     client: Arc<ControlClient>,
     view: Arc<ArcSwap<View>>,
+    load: Arc<Mutex<ProcessLoad>>,
     announced: watch::Receiver<Member>,
 }
 
@@ -157,7 +168,8 @@
         loop {
             let member = self.announced.borrow_and_update().clone();
             let sent = Instant::now();
-            let request = request(member, &self.view.load(), false);
+            let load = self.load.lock().expect("no holder panics").clone();
+            let request = request(member, load, &self.view.load(), false);
             let renewal = self
                 .client
                 .call(RENEWAL_TIMEOUT_MS, RENEWAL_TIMEOUT_MS, |client| {
--- a/src/document.rs
+++ b/src/document.rs
@@ -154,6 +154,12 @@
         self.contracts.get(customer).copied()
     }
 
+    /// The name of a tier; its rank if the document has none of that rank.
+    pub fn tier_name(&self, rank: TierRank) -> TierName {
+        let tier = self.tiers.values().find(|tier| tier.rank == rank);
+        tier.map_or_else(|| TierName(rank.to_string()), |tier| tier.name.clone())
+    }
+
     /// The service of a model name.
     pub fn service_of_model(&self, model: &str) -> Option<&ServicePolicy> {
         self.models
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -299,7 +299,7 @@
     system.wait_ready().await;
     let status = system.status();
     for process in status["processes"].as_array().unwrap() {
-        assert_eq!(process[1], 501, "{process}");
+        assert_eq!(process["document_version"], 501, "{process}");
     }
     let filed = system.caller(1, LEDGERWELL).file("after").await;
     assert_eq!(filed.status, 201, "{filed:?}");
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -163,7 +163,7 @@
         let known = status["processes"].as_array().cloned().unwrap_or_default();
         !known
             .iter()
-            .any(|process| process[0]["name"] == "filings-3")
+            .any(|process| process["member"]["name"] == "filings-3")
     })
     .await;
     println!("out after {} ms", frozen.elapsed().as_millis());
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -150,7 +150,7 @@
             let processes = status["processes"].as_array().cloned().unwrap_or_default();
             let known = processes
                 .iter()
-                .filter(|process| !process[0]["target"].is_null());
+                .filter(|process| !process["member"]["target"].is_null());
             known.count() == targets
         })
         .await;
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -146,6 +146,32 @@
     assert_eq!(output.status.code(), Some(1));
 }
 
+/// Operators see what runs and what waits at each target, by tier.
+async fn load_is_shown() {
+    let engine = ["--decode-tokens-per-s", "20", "--slots", "2"];
+    let system = System::builder().entries(1).engine(&engine).start().await;
+    for api_key in [LEDGERWELL, LEDGERWELL, LEDGERWELL, OVERNIGHT] {
+        let caller = system.caller(0, api_key);
+        tokio::spawn(async move { caller.complete("x", 100, true).await });
+        sleep_ms(50).await;
+    }
+    eventually("the load is shown", 2000, || async {
+        let status = system.status();
+        let agent = status["processes"].as_array().and_then(|all| {
+            let mut all = all.iter();
+            all.find(|process| process["member"]["name"] == "engine-1")
+        });
+        let expected = serde_json::json!({"running": 2, "waiting": {"draft": 1, "overnight": 1}});
+        agent.is_some_and(|agent| agent["load"] == expected)
+    })
+    .await;
+    let text = String::from_utf8(system.command(&["status"]).stdout).unwrap();
+    assert!(
+        text.contains("2 in progress, 1 draft waiting, 1 overnight waiting"),
+        "{text}"
+    );
+}
+
 /// HTTP/2 without TLS is served on the same port.
 async fn http2_is_served() {
     use http_body_util::{BodyExt, Full};
@@ -207,6 +233,7 @@
 cases! {
     http2_without_tls_is_served => http2_is_served();
     dev_serves_and_stops_gracefully => dev_serves();
+    what_runs_and_waits_is_shown => load_is_shown();
     a_request_is_explained => requests_are_explained();
     streams_and_filings_go_through_either_entry => either_entry_serves_streams_and_filings();
     a_document_applied_is_in_force_at_every_process => a_document_is_in_force_everywhere();
