Find the cause of tests that do not start beside other tests

Cause: seen three times today and once before, each time beside another test process: a system did not start. With the ranges of ports forced to overlap, the logs told: "Address already in use". A test process tried whether a port was free by listening at it, also where another process held that port and was about to start a program there; and a program that is just being started keeps such a listener for a moment. Under that load one more start failed: `dev` was ready before it knew every target. Ruled out: sources of connections (their ports begin at 32768), stalls of the disk (5 s in all since the machine started), a fault of the control group. Change: a port is tried by connecting, and only once it is held; a test that fails prints the logs of programs that ended; `dev` binds its entry last, so that what it prints works at once. Scheduler::run is split into one attempt and what follows. Conclusion: a single test process could hit the second race too, rarely.

--- a/src/dev.rs
+++ b/src/dev.rs
@@ -19,13 +19,15 @@
 use std::{
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// The document that `dev` puts in force.
 const DOCUMENT: &str = include_str!("../examples/document.yaml");
 /// How long the control instance may take to lead.
 const START_TIMEOUT_MS: u64 = 10_000;
+/// How often to look whether every target is there.
+const LOOK_INTERVAL_MS: u64 = 20;
 /// Engines by name, with the tokens that they generate a second.
 const ENGINES: [(&str, u64); 3] = [
     ("engine-fast", 400),
@@ -72,17 +74,6 @@
     };
     let control = ControlServer::spawn(&settings).await?;
     let control_addresses = vec![control.rpc_address()];
-    let entry = Entry::bind(&EntrySettings {
-        name: "entry-1".into(),
-        failure_domain: "dev".into(),
-        listen: loopback(port),
-        control: control_addresses.clone(),
-        admin: Some(loopback(0)),
-        balancer_delay_ms: 0,
-        routing: RoutingPolicy::default(),
-        telemetry: TelemetrySettings::default(),
-    })
-    .await?;
     let mut agents = Vec::new();
     let mut engines = Vec::new();
     for (name, decode_tokens_per_s) in ENGINES {
@@ -107,7 +98,22 @@
     .await
     .map_err(CommandError::failed)?;
     agents.push(agent);
-    put_in_force(&ControlClient::new(control_addresses.clone())).await?;
+    let client = ControlClient::new(control_addresses.clone());
+    put_in_force(&client).await?;
+    wait_for_targets(&client, agents.len()).await?;
+    // Last, so that an entry that is ready knows every target.
+    let entry = Entry::bind(&EntrySettings {
+        name: "entry-1".into(),
+        failure_domain: "dev".into(),
+        listen: loopback(port),
+        control: control_addresses.clone(),
+        admin: Some(loopback(0)),
+        balancer_delay_ms: 0,
+        routing: RoutingPolicy::default(),
+        telemetry: TelemetrySettings::default(),
+    })
+    .await?;
+    entry.wait_ready(START_TIMEOUT_MS).await;
     print_welcome(entry.address(), control_addresses[0], entry.admin_address());
     if let Some(console) = control.console_address() {
         println!("\nThe console, where you sign in with {token}:\n  http://{console}/");
@@ -153,10 +159,27 @@
         })
         .await;
     applied?;
-    tokio::time::sleep(Duration::from_millis(300)).await;
     Ok(())
 }
 
+/// Waits until every target has announced itself.
+async fn wait_for_targets(client: &ControlClient, targets: usize) -> Result<(), CommandError> {
+    let until = Instant::now() + Duration::from_millis(START_TIMEOUT_MS);
+    while Instant::now() < until {
+        let status = client.call(START_TIMEOUT_MS, START_TIMEOUT_MS, |client| async move {
+            client.status().await
+        });
+        let processes = status.await?.processes;
+        let announced = processes.iter().filter(|p| p.member.target.is_some());
+        if announced.count() == targets {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(LOOK_INTERVAL_MS)).await;
+    }
+    let message = format!("the targets did not announce themselves within {START_TIMEOUT_MS} ms");
+    Err(CommandError::Failed(message))
+}
+
 fn print_welcome(entry: SocketAddr, control: SocketAddr, admin: Option<SocketAddr>) {
     let admin = admin.map_or(String::new(), |address| address.to_string());
     println!(
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -60,6 +60,44 @@
 /// Why a dispatch brought no answer.
 struct Failed(Verdict, Reason);
 
+impl From<Failed> for Refusal {
+    fn from(Failed(verdict, reason): Failed) -> Self {
+        match verdict {
+            Verdict::NotRun => {
+                let message = "the request could not be dispatched";
+                Self::not_run(reason, message).retry_after(RETRY_AFTER_MS)
+            }
+            _ => {
+                let message = "the request was dispatched and its answer did not come whole";
+                Self {
+                    verdict,
+                    ..Self::not_run(reason, message)
+                }
+            }
+        }
+    }
+}
+
+/// The claim of a request, over its attempts.
+struct HeldClaim {
+    /// The dispatch that is proved not to have run, and gives way to the next.
+    replaces: Option<Replaced>,
+    /// The dispatch of this request that holds the claim.
+    own: Option<Replaced>,
+}
+
+/// What one attempt came to.
+enum Attempted {
+    /// There is an answer, of this attempt or on record.
+    Answered(Response<AnswerBody>),
+    /// An earlier attempt with the key is proved not to have run.
+    ClaimAgain,
+    /// Nothing was dispatched.
+    NoPlace(Refusal),
+    /// The dispatch brought no answer.
+    Failed(Failed),
+}
+
 impl Scheduler {
     /// A scheduler of one entry.
     pub fn new(
@@ -126,72 +164,87 @@
             }
         }
         let mut permit = self.limits.admit(&inbound).await?;
-        let mut own_claim = None;
+        let mut claim = HeldClaim {
+            replaces,
+            own: None,
+        };
         let mut last = Refusal::not_run(Reason::NoTarget, "no attempt was made");
         for number in 1..=ATTEMPTS {
             if number > 1 && !self.retries.spend() {
                 break;
             }
             let attempt = Attempt(number);
-            let sought = Instant::now();
-            let place = match self.place(&mut inbound).await {
-                Ok(place) => {
-                    let wait_ms = sought.elapsed().as_millis() as u64;
-                    metrics::waited(&inbound.treatment.tier.name, wait_ms);
-                    place
-                }
-                Err(refusal) => {
+            let attempted = self
+                .attempt(&mut inbound, attempt, &mut claim, &mut permit)
+                .await?;
+            match attempted {
+                Attempted::Answered(response) => return Ok(response),
+                Attempted::ClaimAgain => {}
+                Attempted::NoPlace(refusal) => {
                     last = refusal;
                     break;
                 }
-            };
-            if inbound.needs_claim() {
-                match self.claim(&inbound, attempt, &place, replaces).await? {
-                    Claimed::Dispatch => {
-                        self.journal.note(inbound.id, Step::Claimed(attempt));
-                        own_claim = Some((inbound.id, attempt));
-                    }
-                    Claimed::Answered(answer) => return Ok(self.replay(inbound.id, answer)),
-                    Claimed::Again(holder) => {
-                        replaces = Some(holder);
-                        continue;
+                Attempted::Failed(failed) => {
+                    let step = Step::Failed(attempt, failed.0, failed.1.clone());
+                    self.journal.note(inbound.id, step);
+                    last = failed.into();
+                    if last.verdict != Verdict::NotRun && !inbound.treatment.repeat_when_unknown {
+                        break;
                     }
                 }
-                replaces = own_claim;
             }
-            match self
-                .dispatch(&inbound, attempt, place, own_claim, &mut permit)
-                .await
-            {
-                Ok(response) => return Ok(response),
-                Err(Failed(Verdict::NotRun, reason)) => {
-                    let step = Step::Failed(attempt, Verdict::NotRun, reason.clone());
-                    self.journal.note(inbound.id, step);
-                    let message = "the request could not be dispatched";
-                    last = Refusal::not_run(reason, message).retry_after(RETRY_AFTER_MS);
+        }
+        self.settle_failed(&inbound, claim.own, &last);
+        Err(last)
+    }
+
+    /// Finds a place, claims if need be, and dispatches.
+    async fn attempt(
+        self: &Arc<Self>,
+        inbound: &mut Inbound,
+        attempt: Attempt,
+        claim: &mut HeldClaim,
+        permit: &mut Option<Permit>,
+    ) -> Result<Attempted, Refusal> {
+        let sought = Instant::now();
+        let place = match self.place(inbound).await {
+            Ok(place) => place,
+            Err(refusal) => return Ok(Attempted::NoPlace(refusal)),
+        };
+        let wait_ms = sought.elapsed().as_millis() as u64;
+        metrics::waited(&inbound.treatment.tier.name, wait_ms);
+        if inbound.needs_claim() {
+            match self.claim(inbound, attempt, &place, claim.replaces).await? {
+                Claimed::Dispatch => {
+                    self.journal.note(inbound.id, Step::Claimed(attempt));
+                    claim.own = Some((inbound.id, attempt));
+                    claim.replaces = claim.own;
                 }
-                Err(Failed(verdict, reason)) => {
-                    let step = Step::Failed(attempt, verdict, reason.clone());
-                    self.journal.note(inbound.id, step);
-                    let message = "the request was dispatched and its answer did not come whole";
-                    last = Refusal {
-                        verdict,
-                        ..Refusal::not_run(reason, message)
-                    };
-                    if !inbound.treatment.repeat_when_unknown {
-                        break;
-                    }
+                Claimed::Answered(answer) => {
+                    return Ok(Attempted::Answered(self.replay(inbound.id, answer)));
+                }
+                Claimed::Again(holder) => {
+                    claim.replaces = Some(holder);
+                    return Ok(Attempted::ClaimAgain);
                 }
             }
         }
-        match (own_claim, last.verdict, &last.reason) {
-            (Some(holder), Verdict::NotRun, _) => self.settle(&inbound, holder, Outcome::NotRun),
+        let dispatched = self.dispatch(inbound, attempt, place, claim.own, permit);
+        Ok(match dispatched.await {
+            Ok(response) => Attempted::Answered(response),
+            Err(failed) => Attempted::Failed(failed),
+        })
+    }
+
+    /// Records what became of a claim whose request got no answer.
+    fn settle_failed(self: &Arc<Self>, inbound: &Inbound, own: Option<Replaced>, last: &Refusal) {
+        match (own, last.verdict, &last.reason) {
+            (Some(holder), Verdict::NotRun, _) => self.settle(inbound, holder, Outcome::NotRun),
             // The agent may yet learn the outcome: a resend asks it.
             (Some(_), _, Reason::LinkLost | Reason::Expired) => {}
-            (Some(holder), ..) => self.settle(&inbound, holder, Outcome::MayHaveRun),
+            (Some(holder), ..) => self.settle(inbound, holder, Outcome::MayHaveRun),
             (None, ..) => {}
         }
-        Err(last)
     }
 
     fn replay(&self, request: RequestId, answer: RecordedAnswer) -> Response<AnswerBody> {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -137,6 +137,11 @@
         self.admin.as_ref().map(HttpServer::address)
     }
 
+    /// Waits until it has a document in force; returns whether that came in time.
+    pub async fn wait_ready(&self, wait_ms: u64) -> bool {
+        self.shared.view.wait_for(DocumentVersion(1), wait_ms).await
+    }
+
     /// Turns unready, stays open for the balancer, then finishes every request.
     pub async fn shutdown(self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -5,7 +5,7 @@
     unistd::Pid,
 };
 use std::{
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{SocketAddr, TcpStream, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
     sync::{
@@ -30,8 +30,11 @@
         let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (start + offset) % PORTS;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        let held = UdpSocket::bind(address);
-        if let (Ok(held), Ok(_)) = (held, TcpListener::bind(address)) {
+        // Asked by connecting: a listener of our own could live on for a moment in a
+        // program that is just being started, and keep the port from its user.
+        if let Ok(held) = UdpSocket::bind(address)
+            && TcpStream::connect(address).is_err()
+        {
             HELD.lock().unwrap().push(held);
             return address;
         }
@@ -160,7 +163,12 @@
 }
 
 impl Drop for Process {
+    /// Ends the process. In a test that fails it first tells why one that should
+    /// still run has ended.
     fn drop(&mut self) {
+        if std::thread::panicking() && self.has_ended() {
+            println!("{:?} has ended: {}", self.arguments, self.log());
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
