--- a/src/console/api.rs
+++ b/src/console/api.rs
@@ -69,7 +69,7 @@
             (&Method::POST, "/api/keys") => Ok(new_key()),
             _ => Ok(no_such_path()),
         };
-        answered.unwrap_or_else(|error| unavailable(&error))
+        answered.unwrap_or_else(|error| unavailable(&error, path == "/api/apply"))
     }
 
     async fn in_force(&self) -> Result<AcceptedDocument, ControlCallError> {
@@ -200,12 +200,13 @@
     json_reply(StatusCode::UNPROCESSABLE_ENTITY, &answer)
 }
 
-fn unavailable(error: &ControlCallError) -> Response<Reply> {
-    match error {
-        ControlCallError::Refused(ControlError::Invalid(faults)) => invalid(faults),
-        error => {
-            let message = format!("{error}; a change may be accepted: send the same one again");
-            refuse(StatusCode::SERVICE_UNAVAILABLE, "no-leader", &message)
+fn unavailable(error: &ControlCallError, is_change: bool) -> Response<Reply> {
+    let message = match error {
+        ControlCallError::Refused(ControlError::Invalid(faults)) => return invalid(faults),
+        error if is_change => {
+            format!("{error}; the change may be accepted: send the same one again")
         }
-    }
+        error => error.to_string(),
+    };
+    refuse(StatusCode::SERVICE_UNAVAILABLE, "no-leader", &message)
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod places;
 mod refusal;
 mod request;
+mod response;
 pub mod routing;
 mod scheduler;
 mod server;
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -2,14 +2,15 @@
 
 use super::{
     agent_links::AgentLinks,
-    body::{AnswerBody, AnswerHead, Arrival, Arriving},
+    body::{AnswerBody, AnswerHead, Arriving},
     claims::{Claimed, Claims, Replaced},
     delivery::Delivery,
     journal::{Journal, Step},
     limits::{EntryLimits, Permit, RetryBudget},
     places::{NoPlace, Place, Places},
-    refusal::{Refusal, mark},
+    refusal::Refusal,
     request::Inbound,
+    response::{collect, recorded, replay, respond},
     routing::RoutingPolicy,
 };
 use crate::{
@@ -23,8 +24,8 @@
     verdict::{Reason, Verdict},
     wire::{Dispatched, ToAgent},
 };
-use bytes::{Bytes, BytesMut};
-use hyper::{Response, StatusCode, header::HeaderName, header::HeaderValue};
+use bytes::Bytes;
+use hyper::Response;
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -37,11 +38,6 @@
 const ATTEMPTS: u32 = 4;
 /// How long to wait for a document that an agent already has.
 const DOCUMENT_WAIT_MS: u64 = 1000;
-/// The longest answer that is held back until it is whole, so that its verdict
-/// can be told in the status.
-const BUFFER_BYTES: usize = 1024 * 1024;
-/// The longest answer that is kept for a resend.
-const RECORDED_BYTES: usize = 16 * 1024;
 /// The advice when to come back where no agent gave one.
 const RETRY_AFTER_MS: u64 = 1000;
 /// Schedules the requests of one entry.
@@ -58,7 +54,7 @@
 }
 
 /// Why a dispatch brought no answer.
-struct Failed(Verdict, Reason);
+pub struct Failed(pub Verdict, pub Reason);
 
 impl From<Failed> for Refusal {
     fn from(Failed(verdict, reason): Failed) -> Self {
@@ -368,89 +364,3 @@
         Ok(respond(request, status, &headers, body))
     }
 }
-
-/// Holds an answer back until it is whole, or too long for that.
-async fn collect(
-    mut arriving: Arriving,
-    permit: &mut Option<Permit>,
-) -> Result<AnswerBody, Failed> {
-    let mut buffered = BytesMut::new();
-    loop {
-        match arriving.next().await {
-            Arrival::Part(bytes) => buffered.extend_from_slice(&bytes),
-            Arrival::End => return Ok(AnswerBody::whole(buffered.freeze())),
-            Arrival::Broken(verdict, reason) => return Err(Failed(verdict, reason)),
-        }
-        if buffered.len() > BUFFER_BYTES {
-            return Ok(AnswerBody::relay(
-                arriving,
-                buffered.freeze(),
-                false,
-                permit.take(),
-            ));
-        }
-    }
-}
-
-/// What is recorded of an answer.
-fn recorded(status: u16, headers: &[(String, Bytes)], body: &AnswerBody) -> Outcome {
-    match body {
-        AnswerBody::Whole(bytes) if bytes.as_ref().is_none_or(|b| b.len() <= RECORDED_BYTES) => {
-            let text = |value: &Bytes| String::from_utf8_lossy(value).into_owned();
-            let headers = headers
-                .iter()
-                .map(|(name, value)| (name.clone(), text(value)));
-            let body = bytes
-                .as_ref()
-                .map(|bytes| bytes.to_vec())
-                .unwrap_or_default();
-            Outcome::Answered(RecordedAnswer {
-                status,
-                headers: headers.collect(),
-                body,
-            })
-        }
-        _ => Outcome::AnsweredLong,
-    }
-}
-
-/// A recorded answer as the answer to a resend.
-fn replay(request: RequestId, answer: RecordedAnswer) -> Response<AnswerBody> {
-    let headers: Vec<(String, Bytes)> = answer
-        .headers
-        .into_iter()
-        .map(|(name, value)| (name, Bytes::from(value)))
-        .collect();
-    let mut response = respond(
-        request,
-        answer.status,
-        &headers,
-        AnswerBody::whole(answer.body),
-    );
-    let repeated = HeaderValue::from_static("true");
-    response
-        .headers_mut()
-        .insert("guavacove-recorded", repeated);
-    response
-}
-
-fn respond(
-    request: RequestId,
-    status: u16,
-    headers: &[(String, Bytes)],
-    body: AnswerBody,
-) -> Response<AnswerBody> {
-    let mut response = Response::new(body);
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for (name, value) in headers {
-        let name = HeaderName::from_bytes(name.as_bytes());
-        match (name, HeaderValue::from_bytes(value)) {
-            (Ok(name), Ok(value)) if name != "content-length" => {
-                response.headers_mut().append(name, value);
-            }
-            _ => {}
-        }
-    }
-    mark(&mut response, request, Verdict::Ran);
-    response
-}
