--- a/tests/tiers.rs
+++ b/tests/tiers.rs
@@ -220,6 +220,43 @@
     );
 }
 
+/// A request that loses its last place asks again at an agent that was full when
+/// it was asked and has room by now, in place of being shed.
+async fn asks_again() {
+    let engine = ["--slots", "1", "--decode-tokens-per-s", "100"];
+    let document = DOCUMENT.replace("queue_requests: 64", "queue_requests: 1");
+    let engines = System::builder().entries(1).engine(&engine).engine(&engine);
+    let system = engines.document(&document).start().await;
+    let send = |max_tokens: u64| {
+        let caller = system.caller(0, VANDERMEULEN);
+        tokio::spawn(async move { caller.complete("x", max_tokens, true).await })
+    };
+    assert!(system.command(&["drain", "engine-2"]).status.success());
+    sleep_ms(500).await;
+    // Engine 1 runs one request for 3 s and has its queue full for so long.
+    let runs = send(300);
+    sleep_ms(150).await;
+    let queued = send(10);
+    sleep_ms(150).await;
+    let undone = system.command(&["drain", "engine-2", "--undo"]);
+    assert!(undone.status.success());
+    sleep_ms(700).await;
+    let long = send(1000);
+    sleep_ms(300).await;
+    // Engine 1 refuses this one, which then waits at engine 2 behind the long one.
+    let asked = send(10);
+    sleep_ms(2700).await;
+    for request in [runs, queued] {
+        assert_eq!(request.await.unwrap().status, 200);
+    }
+    assert!(!asked.is_finished());
+    assert!(system.command(&["drain", "engine-2"]).status.success());
+    let answer = asked.await.unwrap();
+    assert!(answer.is_whole_stream(10), "{answer:?}");
+    assert!(long.await.unwrap().is_whole_stream(1000));
+}
+
 cases! {
+    a_request_that_loses_its_place_asks_again => asks_again();
     live_requests_outlast_overnight_ones => live_outlasts_overnight();
 }
