Wait until a connection is ready before each measured request

Cause: the measure of latency stopped in 3 of 4 runs with "connection was not ready": it sent on a connection whose task had not yet finished the answer before. Ruled out: an entry that closes connections: 13,246 requests passed on one connection. Before: 3 of 4 runs stopped.

--- a/benches/measures.rs
+++ b/benches/measures.rs
@@ -50,6 +50,7 @@
             .header("authorization", format!("Bearer {LEDGERWELL}"))
             .body(Full::default())
             .unwrap();
+        sender.ready().await.unwrap();
         let started = Instant::now();
         let response = sender.send_request(request).await.unwrap();
         assert!(response.status().is_success());
