Free what began a stream once it is open

Read in the code: the future that reads, places and dispatches a request is part of its connection's task, whose memory lasts as long as the stream. Ruled out: the streams' buffers, which did not change. Change: that future is boxed, and freed when the answer begins.

--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -230,12 +230,13 @@
         let span = tracing::info_span!("entry.request", request = %id);
         let traceparent = request.headers().get(telemetry::TRACEPARENT);
         telemetry::continue_trace(&span, traceparent.and_then(|value| value.to_str().ok()));
-        let served = async {
+        // Boxed, so that a stream that is open does not hold what was needed to begin it.
+        let served = Box::pin(async {
             match Inbound::read(id, request, &view).await {
                 Ok(inbound) => self.scheduler.serve(inbound).await,
                 Err(refusal) => refusal.into_response(id),
             }
-        };
+        });
         served.instrument(span).await
     }
 }
