--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -17,5 +17,5 @@
     announcement::Announcement,
     load_report::LoadReport,
     server::{Agent, AgentStartError},
-    target::{REQUEST_ID, end_to_end},
+    target::{REQUEST_ID, end_to_end, is_hop_by_hop},
 };
--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -8,8 +8,10 @@
         orders::{EngineRole, ModelName, Order},
     },
     dev,
+    dialect::Dialect,
     entry::Entry,
-    settings::{AgentSettings, ControlSettings, EntrySettings, Settings},
+    gateway::Gateway,
+    settings::{AgentSettings, ControlSettings, EntrySettings, GatewaySettings, Settings},
     signals,
     standin::{Engine, EngineSettings, Plain, PlainSettings},
     telemetry::Telemetry,
@@ -30,6 +32,7 @@
 #[argh(subcommand)]
 enum Command {
     Entry(EntryCommand),
+    Gateway(GatewayCommand),
     Agent(AgentCommand),
     Control(ControlCommand),
     Check(CheckCommand),
@@ -53,6 +56,15 @@
     settings: PathBuf,
 }
 
+/// Run a gateway: it routes requests by host and path and sends them to targets.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+struct GatewayCommand {
+    /// the settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
 /// Run the agent beside one target: it keeps the target's queue.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "agent")]
@@ -241,7 +253,7 @@
 
 /// Reads the command line and runs the command. The exit code is 0 for
 /// success, 1 for a failure and 2 for bad usage, settings or documents.
-pub fn run() -> ExitCode {
+pub fn run<D: Dialect>() -> ExitCode {
     let words: Vec<String> = std::env::args().collect();
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     let (name, rest) = words.split_first().unwrap_or((&"guavacove", &[]));
@@ -263,7 +275,7 @@
         .enable_all()
         .build();
     let result = match runtime {
-        Ok(runtime) => runtime.block_on(arguments.command.run()),
+        Ok(runtime) => runtime.block_on(arguments.command.run::<D>()),
         Err(error) => Err(CommandError::Failed(error.to_string())),
     };
     match result {
@@ -276,11 +288,12 @@
 }
 
 impl Command {
-    async fn run(self) -> Result<(), CommandError> {
+    async fn run<D: Dialect>(self) -> Result<(), CommandError> {
         match self {
             Self::Entry(command) => command.run().await,
+            Self::Gateway(command) => command.run(D::default()).await,
             Self::Agent(command) => command.run().await,
-            Self::Control(command) => command.run().await,
+            Self::Control(command) => command.run(D::default()).await,
             Self::Check(command) => commands::check(&command.file),
             Self::Apply(command) => command.run().await,
             Self::Get(command) => commands::get(command.control).await,
@@ -325,12 +338,26 @@
     }
 }
 
+impl GatewayCommand {
+    async fn run(self, dialect: impl Dialect) -> Result<(), CommandError> {
+        let settings = GatewaySettings::read(&self.settings)?;
+        let telemetry = Telemetry::install(&settings.telemetry, &settings.name.0);
+        tokio::spawn(signals::note_reloads(self.settings.clone()));
+        let gateway = Gateway::bind(&settings, dialect).await?;
+        signals::stop_requested().await;
+        gateway.shutdown().await;
+        telemetry.flush();
+        Ok(())
+    }
+}
+
 impl ControlCommand {
-    async fn run(self) -> Result<(), CommandError> {
+    async fn run(self, dialect: impl Dialect) -> Result<(), CommandError> {
         let settings = ControlSettings::read(&self.settings)?;
         let process = format!("control-{}", settings.number);
         let telemetry = Telemetry::install(&settings.telemetry, &process);
-        let mut control = ControlServer::spawn(&settings).await?;
+        tokio::spawn(signals::note_reloads(self.settings.clone()));
+        let mut control = ControlServer::spawn(&settings, dialect).await?;
         tokio::select! {
             () = signals::stop_requested() => {}
             () = control.failed() => {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -12,6 +12,7 @@
     },
     document::Policy,
     entry::EntryStartError,
+    gateway::GatewayStartError,
     settings::SettingsError,
     units::*,
 };
@@ -43,6 +44,8 @@
     Settings(SettingsError),
     /// See [`EntryStartError`].
     Entry(EntryStartError),
+    /// See [`GatewayStartError`].
+    Gateway(GatewayStartError),
     /// See [`AgentStartError`].
     Agent(AgentStartError),
     /// See [`ControlStartError`].
@@ -292,6 +295,7 @@
             let (member, version) = (&process.member, process.document_version);
             let role = match member.role {
                 ProcessRole::Entry => "entry",
+                ProcessRole::Gateway => "gateway",
                 ProcessRole::Agent => "agent",
             };
             let target = match &member.target {
--- a/src/consensus/storage.rs
+++ b/src/consensus/storage.rs
@@ -88,6 +88,7 @@
     folder: PathBuf,
     log_path: PathBuf,
     log_file: File,
+    log_bytes: u64,
     _lock: File,
 }
 
@@ -131,6 +132,7 @@
                 folder: folder.into(),
                 log_path,
                 log_file,
+                log_bytes: end as u64,
                 _lock: lock,
             },
             durable,
@@ -141,7 +143,7 @@
     /// after that step.
     ///
     /// # Errors
-    /// Fails if the disk does; the replica must stop then.
+    /// Fails if the disk does. The same may be saved again then, but nothing else.
     pub fn save(&mut self, persist: Persist, log: &Log, hard: &HardState) -> io::Result<()> {
         if persist.is_empty() {
             return Ok(());
@@ -155,12 +157,38 @@
             hard,
             ..
         } = persist;
-        self.log_file.write_all(&frame(&Batch {
+        let bytes = frame(&Batch {
             truncate_after,
             entries,
             hard,
-        })?)?;
-        self.log_file.sync_data()
+        })?;
+        // What an earlier try may have left behind.
+        if self.log_file.metadata()?.len() != self.log_bytes {
+            self.log_file.set_len(self.log_bytes)?;
+        }
+        self.log_file.write_all(&bytes)?;
+        self.log_file.sync_data()?;
+        self.log_bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Keeps a small note beside the log, replaced as a whole.
+    ///
+    /// # Errors
+    /// Fails if the disk does; the old note is kept then.
+    pub fn write_note<T: serde::Serialize>(&self, name: &str, note: &T) -> io::Result<()> {
+        write_synced(&self.folder, name, &frame(note)?)
+    }
+
+    /// Reads a note; `None` if there is none or it cannot be read.
+    pub fn read_note<T: serde::de::DeserializeOwned>(&self, name: &str) -> Option<T> {
+        let path = self.folder.join(name);
+        let bytes = fs::read(&path).ok()?;
+        let note = parse_frame(&bytes, 0).and_then(|(payload, _)| decode(&path, payload).ok());
+        if note.is_none() {
+            tracing::warn!(path = %path.display(), "control: a note cannot be read and is left out");
+        }
+        note
     }
 
     /// Writes a new log file, then the snapshot that makes it the one in use.
@@ -173,7 +201,8 @@
             entries,
             hard: Some(hard.clone()),
         };
-        file.write_all(&frame(&batch)?)?;
+        let bytes = frame(&batch)?;
+        file.write_all(&bytes)?;
         file.sync_all()?;
         sync_folder(&self.folder)?;
         write_synced(&self.folder, "snapshot", &frame(snapshot)?)?;
@@ -182,6 +211,7 @@
             let _ = fs::remove_file(old_path);
         }
         self.log_file = OpenOptions::new().append(true).open(&self.log_path)?;
+        self.log_bytes = bytes.len() as u64;
         Ok(())
     }
 }
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -35,39 +35,67 @@
 /// A client of the control group. It asks one instance after the other until
 /// one that leads answers, and opens a new connection after each time-out.
 pub struct ControlClient {
-    addresses: Vec<SocketAddr>,
-    clients: Mutex<Vec<Option<HttpClient>>>,
+    seeds: Vec<SocketAddr>,
+    instances: Mutex<Vec<Instance>>,
     current: AtomicUsize,
 }
 
+struct Instance {
+    address: SocketAddr,
+    client: Option<HttpClient>,
+}
+
 impl ControlClient {
     /// A client of the instances at these RPC addresses.
     pub fn new(addresses: Vec<SocketAddr>) -> Self {
-        let clients = Mutex::new(addresses.iter().map(|_| None).collect());
-        Self {
-            addresses,
-            clients,
+        let client = Self {
+            seeds: addresses,
+            instances: Mutex::default(),
             current: AtomicUsize::new(0),
+        };
+        client.learn(&[]);
+        client
+    }
+
+    /// Asks these instances from now on, besides those that it was made with.
+    pub fn learn(&self, addresses: &[SocketAddr]) {
+        let mut instances = self.instances.lock().expect("no holder panics");
+        let wanted =
+            |address: &SocketAddr| self.seeds.contains(address) || addresses.contains(address);
+        instances.retain(|instance| wanted(&instance.address));
+        for address in self.seeds.iter().chain(addresses) {
+            if !instances.iter().any(|known| known.address == *address) {
+                instances.push(Instance {
+                    address: *address,
+                    client: None,
+                });
+            }
         }
     }
 
-    fn client(&self, position: usize, attempt_ms: u64) -> Option<HttpClient> {
-        let mut clients = self.clients.lock().expect("no holder panics");
-        let slot = &mut clients[position];
-        if slot.is_none() {
-            let url = format!("http://{}", self.addresses[position]);
-            *slot = HttpClientBuilder::default()
+    /// The instance to ask next and a client of it.
+    fn client(&self, attempt_ms: u64) -> (SocketAddr, Option<HttpClient>) {
+        let mut instances = self.instances.lock().expect("no holder panics");
+        let position = self.current.load(Ordering::Relaxed) % instances.len();
+        let Instance { address, client } = &mut instances[position];
+        if client.is_none() {
+            let url = format!("http://{address}");
+            *client = HttpClientBuilder::default()
                 .request_timeout(Duration::from_millis(attempt_ms.max(5000) * 2))
                 .max_response_size(REPLY_LIMIT_BYTES)
                 .max_request_size(REPLY_LIMIT_BYTES)
                 .build(url)
                 .ok();
         }
-        slot.clone()
+        (*address, client.clone())
     }
 
-    fn drop_connection(&self, position: usize) {
-        self.clients.lock().expect("no holder panics")[position] = None;
+    fn drop_connection(&self, address: SocketAddr) {
+        let mut instances = self.instances.lock().expect("no holder panics");
+        let instance = instances.iter_mut().find(|known| known.address == address);
+        if let Some(instance) = instance {
+            instance.client = None;
+        }
     }
 
     /// Calls the leader. `attempt_ms` bounds each try and `total_ms` all of
@@ -86,13 +114,13 @@
     {
         let deadline = Instant::now() + Duration::from_millis(total_ms);
         loop {
-            let position = self.current.load(Ordering::Relaxed) % self.addresses.len();
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Err(ControlCallError::Unavailable(total_ms));
             }
             let limit = left.min(Duration::from_millis(attempt_ms));
-            let outcome = match self.client(position, attempt_ms) {
+            let (address, client) = self.client(attempt_ms);
+            let outcome = match client {
                 Some(client) => timeout(limit, call(client)).await.ok(),
                 None => None,
             };
@@ -100,7 +128,7 @@
                 Some(Ok(value)) => return Ok(value),
                 Some(Err(ClientError::Call(error))) => ControlError::from_rpc(&error),
                 Some(Err(_)) | None => {
-                    self.drop_connection(position);
+                    self.drop_connection(address);
                     None
                 }
             };
@@ -108,34 +136,31 @@
                 Some(invalid @ ControlError::Invalid(_)) => {
                     return Err(ControlCallError::Refused(invalid));
                 }
-                Some(ControlError::NotLeader(Some(hint))) => self.turn_to(position, &hint),
+                Some(ControlError::NotLeader(Some(hint))) => self.turn_to(address, hint.rpc),
                 Some(ControlError::Unresolved) => {}
-                Some(ControlError::NotLeader(None)) | None => self.turn_from(position),
+                Some(ControlError::NotLeader(None)) | None => self.turn_from(address),
             }
             sleep(Duration::from_millis(RETRY_MS).min(left)).await;
         }
     }
 
-    /// The instance asked next, for messages.
-    pub fn addresses(&self) -> &[SocketAddr] {
-        &self.addresses
-    }
-
-    fn turn_to(&self, position: usize, hint: &str) {
-        let hinted = self
-            .addresses
-            .iter()
-            .position(|address| address.to_string() == hint);
+    fn turn_to(&self, asked: SocketAddr, hint: SocketAddr) {
+        let hinted = {
+            let instances = self.instances.lock().expect("no holder panics");
+            instances.iter().position(|known| known.address == hint)
+        };
         match hinted {
-            Some(hinted) if hinted != position => self.current.store(hinted, Ordering::Relaxed),
-            _ => self.turn_from(position),
+            Some(hinted) if hint != asked => self.current.store(hinted, Ordering::Relaxed),
+            _ => self.turn_from(asked),
         }
     }
 
-    fn turn_from(&self, position: usize) {
-        let next = (position + 1) % self.addresses.len();
-        let _ = self
-            .current
-            .compare_exchange(position, next, Ordering::Relaxed, Ordering::Relaxed);
+    fn turn_from(&self, asked: SocketAddr) {
+        let instances = self.instances.lock().expect("no holder panics");
+        let current = self.current.load(Ordering::Relaxed) % instances.len();
+        if instances[current].address == asked {
+            let next = (current + 1) % instances.len();
+            self.current.store(next, Ordering::Relaxed);
+        }
     }
 }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -90,6 +90,15 @@
             /// The document as YAML, checked by the leader.
             yaml: String,
         },
+        /// Replaces the document if this version is the highest so far.
+        ApplyHighest {
+            /// Chosen by the operator.
+            version: DocumentVersion,
+            /// The document as YAML, checked by the leader.
+            yaml: String,
+            /// The text as the operator sent it, in the operator's own format.
+            source: String,
+        },
         /// Claims a key before a dispatch.
         Claim {
             /// What is claimed.
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -4,22 +4,23 @@
 //! change of leader the table is rebuilt from the next renewals, and readers
 //! drop nobody until it has settled.
 
+use super::table::{Changes, Seen, Table};
 use crate::{derives::record, units::*};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// How long a process stays a member after its last renewal.
 pub const MEMBER_LEASE_MS: u64 = 2500;
 /// How long a new leader's table is incomplete.
 pub const SETTLING_MS: u64 = 2500;
-/// How many removals are kept for readers that are behind.
-const REMEMBERED_REMOVALS: usize = 4096;
 
 record! {
     /// What a process is.
     #[derive(Copy, PartialOrd, Ord)]
     pub enum ProcessRole {
-        /// Takes requests from callers.
+        /// Takes requests from callers and sends them to agents.
         Entry,
+        /// Takes requests from callers and sends them to targets itself.
+        Gateway,
         /// Runs beside a target.
         Agent,
     }
@@ -66,83 +67,40 @@
         /// See [`ProcessLoad`].
         pub load: ProcessLoad,
     }
-
-    /// How far a reader has followed a table.
-    pub struct MembersSeen {
-        /// The leader's term, and whether its table had settled.
-        pub epoch: (FencingNumber, bool),
-        /// The last revision seen.
-        pub revision: u64,
-    }
-
-    /// What a reader lacks.
-    pub struct MemberChanges {
-        /// How far the reader has followed after this.
-        pub seen: MembersSeen,
-        /// Whether `present` is the whole table.
-        pub whole: bool,
-        /// New and changed members.
-        pub present: Vec<Member>,
-        /// Members that are gone.
-        pub removed: Vec<ProcessName>,
-    }
 }
 
-struct Row {
-    status: ProcessStatus,
-    revision: u64,
-    renewed_ms: u64,
-}
+/// How far a reader has followed the members.
+pub type MembersSeen = Seen;
+/// What a reader lacks of the members.
+pub type MemberChanges = Changes<ProcessName, Member>;
 
-/// The table of one leadership.
+/// The processes of one leadership.
 #[derive(Default)]
 pub struct Members {
-    rows: BTreeMap<ProcessName, Row>,
-    removals: VecDeque<(u64, ProcessName)>,
-    forgotten_revision: u64,
-    revision: u64,
+    table: Table<ProcessName, Member>,
+    details: BTreeMap<ProcessName, (DocumentVersion, ProcessLoad)>,
 }
 
 impl Members {
     /// Takes a renewal; returns whether readers see a difference.
     pub fn renew(&mut self, status: ProcessStatus, now_ms: u64) -> bool {
-        let known = self.rows.get(&status.member.name);
-        let same = known.filter(|row| row.status.member == status.member);
-        let revision = same.map_or(self.revision + 1, |row| row.revision);
-        let is_news = same.is_none();
-        self.revision = self.revision.max(revision);
-        let row = Row {
-            status,
-            revision,
-            renewed_ms: now_ms,
-        };
-        self.rows.insert(row.status.member.name.clone(), row);
-        is_news
+        let name = status.member.name.clone();
+        let details = (status.document_version, status.load);
+        self.details.insert(name.clone(), details);
+        self.table.put(name, status.member, now_ms)
     }
 
     /// Removes a process that says goodbye.
     pub fn remove(&mut self, name: &ProcessName) {
-        if self.rows.remove(name).is_some() {
-            self.revision += 1;
-            self.removals.push_back((self.revision, name.clone()));
-        }
-        while self.removals.len() > REMEMBERED_REMOVALS {
-            let forgotten = self.removals.pop_front();
-            self.forgotten_revision = forgotten.map_or(0, |(revision, _)| revision);
-        }
+        self.details.remove(name);
+        self.table.remove(name);
     }
 
     /// Removes those whose lease has run out; returns their names.
     pub fn expire(&mut self, now_ms: u64) -> Vec<ProcessName> {
-        let lapsed = |row: &Row| now_ms > row.renewed_ms + MEMBER_LEASE_MS;
-        let gone: Vec<ProcessName> = self
-            .rows
-            .values()
-            .filter(|row| lapsed(row))
-            .map(|row| row.status.member.name.clone())
-            .collect();
+        let gone = self.table.expire(MEMBER_LEASE_MS, now_ms);
         for name in &gone {
-            self.remove(name);
+            self.details.remove(name);
         }
         gone
     }
@@ -153,38 +111,27 @@
         seen: Option<&MembersSeen>,
         epoch: (FencingNumber, bool),
     ) -> Option<MemberChanges> {
-        let since =
-            seen.filter(|seen| seen.epoch == epoch && seen.revision >= self.forgotten_revision);
-        let revision = since.map_or(0, |seen| seen.revision);
-        if since.is_some() && revision == self.revision {
-            return None;
-        }
-        let is_routable = |row: &&Row| row.status.member.role == ProcessRole::Agent;
-        let newer = self
-            .rows
-            .values()
-            .filter(is_routable)
-            .filter(|row| row.revision > revision);
-        let present = newer.map(|row| row.status.member.clone()).collect();
-        let removed = self.removals.iter().filter(|(at, _)| *at > revision);
-        let removed = removed
-            .map(|(_, name)| name.clone())
-            .filter(|name| !self.rows.contains_key(name))
-            .collect();
-        let seen = MembersSeen {
-            epoch,
-            revision: self.revision,
-        };
-        Some(MemberChanges {
-            seen,
-            whole: since.is_none(),
-            present,
-            removed,
-        })
+        let routable = |member: &Member| member.role == ProcessRole::Agent;
+        self.table.changes(seen, epoch, routable)
+    }
+
+    /// How many processes of a role there are.
+    pub fn count(&self, role: ProcessRole) -> usize {
+        let members = self.table.values();
+        members.filter(|member| member.role == role).count()
     }
 
     /// Every process, as of its last renewal.
     pub fn statuses(&self) -> Vec<ProcessStatus> {
-        self.rows.values().map(|row| row.status.clone()).collect()
+        let status = |member: &Member| {
+            let details = self.details.get(&member.name).cloned();
+            let (document_version, load) = details.unwrap_or_default();
+            ProcessStatus {
+                member: member.clone(),
+                document_version,
+                load,
+            }
+        };
+        self.table.values().map(status).collect()
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,14 +1,23 @@
 //! The control group: the document, claims, membership and orders.
 
+mod api;
 pub mod client;
 pub mod command;
+pub mod directory;
 pub mod limits;
 pub mod members;
 pub mod orders;
-mod peers;
-mod replica;
+pub mod peers;
+pub mod replica;
+pub mod roster;
 pub mod rpc;
 pub mod server;
+pub mod shares;
 pub mod state;
+pub mod table;
 
-pub use self::{client::ControlClient, server::ControlServer};
+pub use self::{
+    api::{ApiCall, ApiDialect, ApiReply, NoApi},
+    client::ControlClient,
+    server::ControlServer,
+};
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -1,6 +1,6 @@
 //! Links between control instances.
 
-use super::replica::ReplicaMessage;
+use super::{replica::ReplicaMessage, roster::Presence};
 use crate::{
     accept,
     consensus::{Message, ReplicaId, Snapshot},
@@ -8,8 +8,12 @@
     link,
 };
 use ractor::ActorRef;
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
-use tokio::{net::TcpListener, sync::mpsc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+use tokio::{net::TcpListener, runtime::Handle, sync::mpsc};
 
 /// How long to wait before connecting again.
 const RECONNECT_MS: u64 = 100;
@@ -20,8 +24,8 @@
     /// What control instances tell each other.
     #[allow(missing_docs)]
     pub enum PeerMessage {
-        /// Who runs under a number, and whether it belongs to a group.
-        Present { id: ReplicaId, in_group: bool },
+        /// Who runs at an address, and whom it knows.
+        Present(Presence),
         /// Founds the group.
         Found { snapshot: Snapshot },
         /// A message of the replicated log.
@@ -29,35 +33,54 @@
     }
 }
 
-/// The outgoing links, by the number of the instance.
-pub struct Peers(BTreeMap<u8, mpsc::Sender<PeerMessage>>);
+/// The outgoing links, by the peer address of the instance.
+pub struct Peers {
+    links: BTreeMap<SocketAddr, mpsc::Sender<PeerMessage>>,
+    runtime: Handle,
+}
 
 impl Peers {
-    /// Starts a task for each peer that keeps a link to it open.
-    pub fn spawn(addresses: BTreeMap<u8, SocketAddr>) -> Self {
-        let links = addresses.into_iter().map(|(number, address)| {
-            let (sender, waiting) = mpsc::channel(WAITING_MESSAGES);
-            tokio::spawn(keep_link(address, waiting));
-            (number, sender)
-        });
-        Self(links.collect())
+    /// No links yet; their tasks will run on the current runtime.
+    pub fn new() -> Self {
+        Self {
+            links: BTreeMap::new(),
+            runtime: Handle::current(),
+        }
+    }
+
+    /// Keeps links to exactly these addresses.
+    pub fn keep(&mut self, contacts: &BTreeSet<SocketAddr>) {
+        self.links.retain(|address, _| contacts.contains(address));
+        for address in contacts {
+            self.links.entry(*address).or_insert_with(|| {
+                let (sender, waiting) = mpsc::channel(WAITING_MESSAGES);
+                self.runtime.spawn(keep_link(*address, waiting));
+                sender
+            });
+        }
     }
 
     /// Sends to one instance, or drops the message if its link is down.
-    pub fn send(&self, number: u8, message: PeerMessage) {
-        if let Some(sender) = self.0.get(&number) {
+    pub fn send(&self, address: SocketAddr, message: PeerMessage) {
+        if let Some(sender) = self.links.get(&address) {
             let _ = sender.try_send(message);
         }
     }
 
     /// Sends to all.
     pub fn broadcast(&self, message: &PeerMessage) {
-        for number in self.0.keys() {
-            self.send(*number, message.clone());
+        for address in self.links.keys() {
+            self.send(*address, message.clone());
         }
     }
 }
 
+impl Default for Peers {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 async fn keep_link(address: SocketAddr, mut waiting: mpsc::Receiver<PeerMessage>) {
     loop {
         if let Ok((sender, mut receiver)) = link::connect::<PeerMessage, PeerMessage>(address).await
@@ -74,6 +97,9 @@
             }
         }
         while waiting.try_recv().is_ok() {}
+        if waiting.is_closed() {
+            return;
+        }
         tokio::time::sleep(Duration::from_millis(RECONNECT_MS)).await;
     }
 }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -4,23 +4,27 @@
 
 use super::{
     command::{Command, Reply},
+    directory::{self, Directory, TargetAnnouncement},
     limits::{LimitGrant, LimitWant, Limits},
-    members::{MEMBER_LEASE_MS, Members, ProcessStatus, SETTLING_MS},
+    members::{MEMBER_LEASE_MS, Members, ProcessRole, ProcessStatus, SETTLING_MS},
     peers::{PeerMessage, Peers},
+    roster::{Founding, InstanceAddresses, Roster},
     rpc::*,
+    shares::Demands,
     state::{AcceptedDocument, ControlState},
 };
 use crate::{
+    clock,
     consensus::*,
     document::Policy,
-    settings::PeerSettings,
     units::{DocumentVersion, FencingNumber, ProcessName, TargetName},
 };
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{
     collections::BTreeMap,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::oneshot;
 
@@ -36,9 +40,20 @@
 /// How often a replica tells the others that it is there.
 const PRESENCE_MS: u64 = 300;
 /// How long a peer counts as present after it was heard of.
-const PRESENT_MS: u64 = 1500;
+pub const PRESENT_MS: u64 = 1500;
+/// How long a voter is silent before another replica may take its place: longer than a
+/// restart or a short cut, so that those change no replicas.
+pub const SILENT_VOTER_MS: u64 = 8000;
+/// How often a write is tried again that the disk refused.
+const DISK_RETRY_MS: u64 = 100;
+/// How long the disk may refuse before the replica stops.
+const DISK_PATIENCE_MS: u64 = 60_000;
+/// The name of the note of other instances' addresses.
+const INSTANCES_NOTE: &str = "instances";
 /// How many entries are kept before a snapshot replaces them.
 const LOG_ENTRIES: usize = 256;
+/// How many bytes of commands are kept before a snapshot replaces them.
+const LOG_BYTES: usize = 2 * 1024 * 1024;
 /// A snapshot waits until the log has one entry for this many claims.
 const CLAIMS_PER_LOG_ENTRY: usize = 4;
 /// How long a claim is kept.
@@ -67,6 +82,10 @@
     Limits(ProcessName, Vec<LimitWant>, Port<Vec<LimitGrant>>),
     /// Reads the document.
     Get(Port<AcceptedDocument>),
+    /// Takes what a target says of itself.
+    Announce(TargetAnnouncement, Port<()>),
+    /// Takes a target out of the directory.
+    Withdraw(TargetName, Port<()>),
     /// Reads a claim.
     ClaimOf(
         super::command::ClaimKey,
@@ -87,10 +106,22 @@
     pub storage: Storage,
     /// What it held.
     pub durable: Durable,
-    /// Links to the others.
-    pub peers: Peers,
-    /// All instances.
-    pub instances: Vec<PeerSettings>,
+    /// What this instance says of itself, and how it finds the others.
+    pub identity: Identity,
+}
+
+/// What an instance says of itself, and how it finds the others.
+pub struct Identity {
+    /// Where it is reached.
+    pub addresses: InstanceAddresses,
+    /// Whether it may found the group.
+    pub may_found: bool,
+    /// Whether its replica is kept on a disk.
+    pub durable: bool,
+    /// How it finds the others.
+    pub discovery: super::roster::Discovery,
+    /// How long a target stays in the directory after its last announcement.
+    pub target_lease_ms: u64,
 }
 
 struct Waiting {
@@ -105,31 +136,28 @@
     }
 }
 
-struct Present {
-    id: ReplicaId,
-    in_group: bool,
-    heard_ms: u64,
-}
-
 /// The actor's state.
 pub struct ReplicaState {
-    started: Instant,
+    started_ms: u64,
     core: Core,
     storage: Storage,
     control: ControlState,
     peers: Peers,
-    instances: Vec<PeerSettings>,
-    present: BTreeMap<u8, Present>,
+    roster: Roster,
+    target_lease_ms: u64,
     announced_ms: u64,
     founding: bool,
     batch: Vec<(Command, Port<Reply>)>,
     pending: BTreeMap<LogIndex, (Term, Port<Reply>)>,
     members: Members,
+    directory: Directory,
+    demands: Demands,
     limits: Limits,
     policy: Policy,
     led_term: Term,
     leader_since_ms: u64,
     settled: bool,
+    directory_settled: bool,
     waiting: Vec<Waiting>,
     expired_ms: u64,
 }
@@ -147,8 +175,7 @@
         let ReplicaArguments {
             storage,
             durable,
-            peers,
-            instances,
+            identity,
         } = arguments;
         let Durable {
             id,
@@ -160,25 +187,41 @@
             tracing::warn!("control: cut a torn record of {cut_bytes} bytes at the end of the log");
         }
         let control = decode_state(&log.snapshot.state)?;
-        tracing::info!("control: replica {id} starts at entry {}", log.last_index());
+        let last_index = log.last_index();
+        tracing::info!(replica = %id, last_index = last_index.0, version = control.document().version.0, "control: replica starts");
+        let may_found = identity.may_found && last_index == LogIndex(0);
+        let known = storage.read_note(INSTANCES_NOTE).unwrap_or_default();
+        let roster = Roster::new(
+            id,
+            identity.addresses,
+            may_found,
+            identity.durable,
+            identity.discovery,
+            known,
+        );
+        let mut peers = Peers::new();
+        peers.keep(&roster.contacts());
         Ok(ReplicaState {
-            started: Instant::now(),
+            started_ms: clock::boot_ms(),
             core: Core::new(id, TIMING, hard, log, 1),
             storage,
             control,
             peers,
-            instances,
-            present: BTreeMap::new(),
+            roster,
+            target_lease_ms: identity.target_lease_ms,
             announced_ms: 0,
             founding: false,
             batch: Vec::new(),
             pending: BTreeMap::new(),
             members: Members::default(),
+            directory: Directory::default(),
+            demands: Demands::default(),
             limits: Limits::default(),
             policy: Policy::default(),
             led_term: Term(0),
             leader_since_ms: 0,
             settled: false,
+            directory_settled: false,
             waiting: Vec::new(),
             expired_ms: 0,
         })
@@ -208,6 +251,14 @@
                 let reply = state.leased().map(|()| state.control.document().clone());
                 let _ = port.send(reply);
             }
+            ReplicaMessage::Announce(announcement, port) => {
+                let taken = state.leading().map(|()| state.announce(announcement));
+                let _ = port.send(taken);
+            }
+            ReplicaMessage::Withdraw(target, port) => {
+                let taken = state.leading().map(|()| state.withdraw(&target));
+                let _ = port.send(taken);
+            }
             ReplicaMessage::ClaimOf(key, port) => {
                 let reply = state.leased().map(|()| state.control.claim(&key).cloned());
                 let _ = port.send(reply);
@@ -232,9 +283,37 @@
 }
 
 impl ReplicaState {
-    /// Monotonic milliseconds of this process, from 1.
+    /// Milliseconds of this process, from 1, suspended time included.
     fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64 + 1
+        clock::boot_ms() - self.started_ms + 1
+    }
+
+    /// Saves what a step asks for; waits on this thread while the disk refuses, so that
+    /// nothing is said that is not durable. Other replicas go on meanwhile.
+    fn save(&mut self, persist: Persist) -> Result<(), ActorProcessingErr> {
+        let began_ms = clock::boot_ms();
+        let mut failed = false;
+        loop {
+            let saved = self
+                .storage
+                .save(persist.clone(), self.core.log(), self.core.hard_state());
+            let waited_ms = clock::boot_ms() - began_ms;
+            match saved {
+                Ok(()) if failed => {
+                    tracing::info!(waited_ms, "control: the disk takes writes again");
+                    return Ok(());
+                }
+                Ok(()) => return Ok(()),
+                Err(error) if waited_ms > DISK_PATIENCE_MS => return Err(error.into()),
+                Err(error) => {
+                    if !failed {
+                        tracing::warn!(%error, "control: the disk refuses writes");
+                    }
+                    failed = true;
+                    thread::sleep(Duration::from_millis(DISK_RETRY_MS));
+                }
+            }
+        }
     }
 
     /// Steps the core, then syncs, sends and applies, in this order.
@@ -246,18 +325,18 @@
             committed,
             refused,
         } = self.core.step(self.now_ms(), input);
-        self.storage
-            .save(persist, self.core.log(), self.core.hard_state())?;
+        if !persist.is_empty() {
+            self.save(persist)?;
+        }
         for (to, message) in messages {
             let from = self.core.id();
-            self.peers
-                .send(to.number, PeerMessage::Core { from, to, message });
+            if let Some(addresses) = self.roster.addresses_of(to) {
+                let message = PeerMessage::Core { from, to, message };
+                self.peers.send(addresses.peer, message);
+            }
         }
         if let Some(snapshot) = restore {
-            tracing::info!(
-                "control: restored a snapshot up to entry {}",
-                snapshot.index
-            );
+            tracing::info!(index = snapshot.index.0, "control: restored a snapshot");
             self.control = decode_state(&snapshot.state)?;
         }
         let version_before = self.control.document().version;
@@ -289,10 +368,12 @@
         if now_ms >= self.announced_ms + PRESENCE_MS {
             self.announced_ms = now_ms;
             let in_group = !self.core.membership().is_empty();
-            self.peers.broadcast(&PeerMessage::Present {
-                id: self.core.id(),
-                in_group,
-            });
+            let membership = self.core.membership().clone();
+            self.roster.forget_strangers(&membership, now_ms);
+            self.peers.keep(&self.roster.contacts());
+            let leads = self.leased().is_ok();
+            let presence = self.roster.presence(in_group, leads);
+            self.peers.broadcast(&PeerMessage::Present(presence));
         }
         self.found()?;
         self.compact()?;
@@ -306,16 +387,15 @@
 
     fn hear(&mut self, message: PeerMessage) -> Result<(), ActorProcessingErr> {
         match message {
-            PeerMessage::Present { id, in_group } => {
-                let heard_ms = self.now_ms();
-                self.present.insert(
-                    id.number,
-                    Present {
-                        id,
-                        in_group,
-                        heard_ms,
-                    },
-                );
+            PeerMessage::Present(presence) => {
+                let now_ms = self.now_ms();
+                if self.roster.hear(presence, now_ms) {
+                    self.peers.keep(&self.roster.contacts());
+                    let known = self.roster.addresses();
+                    if let Err(error) = self.storage.write_note(INSTANCES_NOTE, known) {
+                        tracing::warn!(%error, "control: addresses of instances not kept on disk");
+                    }
+                }
             }
             PeerMessage::Found { snapshot } => {
                 self.step(Input::Found(snapshot))?;
@@ -347,47 +427,47 @@
         Ok(())
     }
 
-    /// Founds the group once every instance is present and none belongs to one.
+    /// Founds the group once all its founders are present and none belongs to one.
     fn found(&mut self) -> Result<(), ActorProcessingErr> {
-        let lowest = self.instances.iter().map(|instance| instance.number).min();
-        let belongs = !self.core.membership().is_empty();
-        if belongs || lowest != Some(self.core.id().number) {
+        if !self.core.membership().is_empty() {
             return Ok(());
         }
-        let now_ms = self.now_ms();
-        let fresh = |present: &&Present| now_ms < present.heard_ms + PRESENT_MS;
-        let present: Vec<&Present> = self.present.values().filter(fresh).collect();
-        let complete = present.len() + 1 == self.instances.len();
-        let founded = present.iter().filter(|present| present.in_group).count();
-        let mut membership = Membership::default();
-        membership.voters.insert(self.core.id());
-        membership
-            .voters
-            .extend(present.iter().map(|present| present.id));
-        let snapshot = Snapshot {
-            index: FOUNDING_INDEX,
-            term: Term(0),
-            membership,
-            state: Bytes::new(),
+        let founding = self.roster.founding(self.now_ms());
+        let snapshot = |voters| {
+            let membership = Membership {
+                voters,
+                ..Membership::default()
+            };
+            Snapshot {
+                index: FOUNDING_INDEX,
+                term: Term(0),
+                membership,
+                state: Bytes::new(),
+            }
         };
-        match () {
-            () if !complete => {}
-            () if founded == present.len() && (self.founding || present.is_empty()) => {
-                tracing::info!("control: founded the group");
-                self.step(Input::Found(snapshot))?;
+        match founding {
+            Founding::Found(voters) if self.founding || voters.len() == 1 => {
+                tracing::info!(voters = voters.len(), "control: founded the group");
+                self.step(Input::Found(snapshot(voters)))?;
             }
-            () if founded == 0 => {
+            Founding::Invite(voters) => {
                 self.founding = true;
+                let snapshot = snapshot(voters);
                 self.peers.broadcast(&PeerMessage::Found { snapshot });
             }
-            () => {}
+            Founding::Found(_) | Founding::Wait => {}
         }
         Ok(())
     }
 
     fn compact(&mut self) -> Result<(), ActorProcessingErr> {
-        let entries = self.core.log().entries.len();
-        if entries < LOG_ENTRIES + self.control.claim_count() / CLAIMS_PER_LOG_ENTRY {
+        let entries = &self.core.log().entries;
+        let bytes = |entry: &Entry| match &entry.payload {
+            Payload::Command(bytes) => bytes.len(),
+            Payload::Noop | Payload::Membership(_) => 0,
+        };
+        let few = entries.len() < LOG_ENTRIES + self.control.claim_count() / CLAIMS_PER_LOG_ENTRY;
+        if few && entries.iter().map(bytes).sum::<usize>() < LOG_BYTES {
             return Ok(());
         }
         let state = postcard::to_stdvec(&self.control)?.into();
@@ -403,10 +483,18 @@
         }
     }
 
+    /// As `leased`, and this leadership has begun its tables.
+    fn leading(&self) -> Result<(), ControlError> {
+        match self.led_term == self.core.term() {
+            true => self.leased(),
+            false => Err(ControlError::Unresolved),
+        }
+    }
+
     fn not_leader(&self) -> ControlError {
         let leader = self.core.leader().filter(|id| *id != self.core.id());
-        let instance = leader.and_then(|id| self.instances.iter().find(|i| i.number == id.number));
-        ControlError::NotLeader(instance.map(|instance| instance.rpc.to_string()))
+        let known = leader.and_then(|id| self.roster.addresses_of(id));
+        ControlError::NotLeader(known.or_else(|| self.roster.leader(self.now_ms())))
     }
 
     fn fail_pending(&mut self) {
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -10,9 +10,12 @@
             self.led_term = self.core.term();
             self.leader_since_ms = now_ms;
             self.settled = false;
+            self.directory_settled = false;
             self.members = Members::default();
+            self.directory = Directory::default();
+            self.demands = Demands::default();
             self.limits = Limits::new(now_ms);
-            tracing::info!("control: leads in term {}", self.led_term);
+            tracing::info!(term = self.led_term.0, "control: leads");
         }
         if self.leased().is_err() {
             self.fail_waiting();
@@ -20,11 +23,19 @@
         }
         let gone = self.members.expire(now_ms);
         for name in &gone {
+            self.demands.remove(name);
             tracing::warn!("control: {name} was silent for {MEMBER_LEASE_MS} ms and is out");
         }
-        let settles = !self.settled && now_ms > self.leader_since_ms + SETTLING_MS;
+        let lost = self.directory.expire(self.target_lease_ms, now_ms);
+        for target in &lost {
+            tracing::warn!(%target, silent_ms = self.target_lease_ms, "control: target silent and dropped");
+        }
+        let led_ms = now_ms - self.leader_since_ms;
+        let settles = !self.settled && led_ms > SETTLING_MS;
+        let directory_settles = !self.directory_settled && led_ms > directory::SETTLING_MS;
         self.settled |= settles;
-        if settles || !gone.is_empty() {
+        self.directory_settled |= directory_settles;
+        if settles || directory_settles || !gone.is_empty() || !lost.is_empty() {
             self.answer_waiting();
         }
         self.answer_late(now_ms);
@@ -38,44 +49,40 @@
         Ok(())
     }
 
-    /// Replaces a replica whose disk is new, one membership change at a time.
+    /// Takes the next step towards the replicas that the group should have.
     pub(super) fn repair_replicas(&mut self, now_ms: u64) -> Result<(), ActorProcessingErr> {
         let membership = self.core.membership();
-        let replaced = |old: &ReplicaId| {
-            self.present
-                .get(&old.number)
-                .is_some_and(|present| present.id != *old && now_ms < present.heard_ms + PRESENT_MS)
-        };
-        let successor_votes = |old: &ReplicaId| {
-            let successor = self.present.get(&old.number).map(|present| present.id);
-            successor.is_some_and(|id| membership.voters.contains(&id))
-        };
-        let newcomers = self
-            .present
-            .values()
-            .filter(|present| now_ms < present.heard_ms + PRESENT_MS);
-        let newcomer = newcomers
-            .map(|present| present.id)
-            .find(|id| !membership.contains(*id));
-        let stale_learner = membership.learners.iter().find(|id| replaced(id)).copied();
-        let learner = membership.learners.first().copied();
-        let old_voter = membership
-            .voters
-            .iter()
-            .find(|id| replaced(id) && successor_votes(id))
-            .copied();
-        let change = match (old_voter, stale_learner, newcomer, learner) {
-            (Some(id), ..) | (None, Some(id), ..) => MembershipChange::Remove(id),
-            (None, None, Some(id), _) => MembershipChange::AddLearner(id),
-            (None, None, None, Some(id)) => MembershipChange::Promote(id),
-            (None, None, None, None) => return Ok(()),
-        };
-        if self.step(Input::Change(change.clone()))?.is_none() {
-            tracing::info!("control: changes the replicas: {change:?}");
+        let change = self.roster.repair(membership, self.leader_since_ms, now_ms);
+        if let Some(change) = change
+            && self.step(Input::Change(change.clone()))?.is_none()
+        {
+            tracing::info!(?change, "control: changes the replicas");
         }
         Ok(())
     }
 
+    /// Takes an announcement of a target.
+    pub(super) fn announce(&mut self, announcement: TargetAnnouncement) {
+        let now_ms = self.now_ms();
+        let TargetAnnouncement { entry, sequence } = announcement.clone();
+        if self.directory.announce(announcement, now_ms) {
+            tracing::info!(
+                target = %entry.name, service = %entry.service, address = %entry.address,
+                sequence, started_unix_ms = entry.started_unix_ms, leaving = entry.leaving,
+                "control: target changed"
+            );
+            self.answer_waiting();
+        }
+    }
+
+    /// Takes a target out of the directory.
+    pub(super) fn withdraw(&mut self, target: &TargetName) {
+        if self.directory.withdraw(target) {
+            tracing::info!(%target, "control: target withdrawn");
+            self.answer_waiting();
+        }
+    }
+
     pub(super) fn fail_waiting(&mut self) {
         for waiting in std::mem::take(&mut self.waiting) {
             let _ = waiting.port.send(Err(self.not_leader()));
@@ -95,9 +102,14 @@
         let changed = match request.goodbye {
             true => {
                 self.members.remove(&request.member.name);
+                self.demands.remove(&request.member.name);
                 true
             }
             false => {
+                if request.member.role == ProcessRole::Gateway {
+                    let (name, demand) = (request.member.name.clone(), request.demand.clone());
+                    self.demands.report(name, demand);
+                }
                 let status = ProcessStatus {
                     member: request.member.clone(),
                     document_version: request.document_version,
@@ -138,13 +150,26 @@
     /// What a process lacks, and whether it lacks anything.
     pub(super) fn reply_to(&self, request: &SyncRequest, arrived_ms: u64) -> (SyncReply, bool) {
         let document = self.control.document();
-        let document = (document.version != request.document_version).then(|| document.clone());
+        let document = (document.version != request.document_version).then(|| AcceptedDocument {
+            source: None,
+            ..document.clone()
+        });
         let fencing = FencingNumber(self.core.term().0);
         let epoch = (fencing, self.settled);
         let members = match request.members_wanted {
             true => self.members.changes(request.members_seen.as_ref(), epoch),
             false => None,
         };
+        let is_gateway = request.member.role == ProcessRole::Gateway;
+        let targets = match is_gateway {
+            true => {
+                let epoch = (fencing, self.directory_settled);
+                self.directory.changes(request.targets_seen.as_ref(), epoch)
+            }
+            false => None,
+        };
+        let shares = is_gateway && self.settled;
+        let shares = shares.then(|| self.demands.shares_of(&request.member.name));
         let target = TargetName(request.member.name.0.clone());
         let orders = self
             .control
@@ -152,7 +177,10 @@
             .get(&target)
             .cloned()
             .unwrap_or_default();
-        let is_news = document.is_some() || members.is_some() || orders != request.orders;
+        let is_news = document.is_some()
+            || members.is_some()
+            || targets.is_some()
+            || orders != request.orders;
         (
             SyncReply {
                 held_ms: self.now_ms().saturating_sub(arrived_ms),
@@ -160,6 +188,9 @@
                 document,
                 members,
                 orders,
+                targets,
+                shares,
+                control: self.roster.rpc_addresses(self.now_ms()),
             },
             is_news,
         )
@@ -217,6 +248,7 @@
             claims: self.control.claim_count() as u64,
             orders: self.control.orders().clone().into_iter().collect(),
             processes: self.members.statuses(),
+            targets: self.directory.targets(),
         }
     }
 }
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -2,9 +2,12 @@
 
 use super::{
     command::{Claim, ClaimKey, ClaimedAttempt, Outcome},
+    directory::{TargetChanges, TargetEntry, TargetsSeen},
     limits::{LimitGrant, LimitWant},
     members::*,
     orders::{Order, TargetOrders},
+    roster::InstanceAddresses,
+    shares::{Demand, Shares},
     state::AcceptedDocument,
 };
 use crate::{derives::record, document::Faults, units::*};
@@ -27,6 +30,10 @@
         pub members_wanted: bool,
         /// See `members_wanted`.
         pub members_seen: Option<MembersSeen>,
+        /// How far it has followed the directory of targets; only a gateway does.
+        pub targets_seen: Option<TargetsSeen>,
+        /// What a gateway was asked for lately.
+        pub demand: Demand,
         /// The orders to its target that it knows.
         pub orders: TargetOrders,
         /// How long the leader may wait for something new, in milliseconds.
@@ -48,6 +55,12 @@
         pub members: Option<MemberChanges>,
         /// The state that its target is to be in.
         pub orders: TargetOrders,
+        /// What a gateway lacks of the directory of targets.
+        pub targets: Option<TargetChanges>,
+        /// A gateway's parts; `None` while the leader does not know all demand yet.
+        pub shares: Option<Shares>,
+        /// The RPC addresses of the control instances at present.
+        pub control: Vec<std::net::SocketAddr>,
     }
 
     /// The answer to a change of the document.
@@ -101,6 +114,8 @@
         pub orders: Vec<(TargetName, TargetOrders)>,
         /// Every process, as of its last renewal.
         pub processes: Vec<ProcessStatus>,
+        /// Every target that announced itself to the control group.
+        pub targets: Vec<TargetEntry>,
     }
 }
 
@@ -120,6 +135,15 @@
         yaml: String,
     ) -> RpcResult<ApplyReply>;
 
+    /// Makes a document the one in force if its version is the highest so far.
+    #[method(name = "apply_highest")]
+    async fn apply_highest(
+        &self,
+        version: DocumentVersion,
+        yaml: String,
+        source: String,
+    ) -> RpcResult<DocumentVersion>;
+
     /// Reads the document in force.
     #[method(name = "get")]
     async fn get(&self) -> RpcResult<AcceptedDocument>;
@@ -166,9 +190,9 @@
 #[derive(Clone, Debug, derive_more::Display, derive_more::Error)]
 #[error(ignore)]
 pub enum ControlError {
-    /// Ask another instance; perhaps at this address.
+    /// Ask another instance; perhaps this one.
     #[display("this control instance does not lead the group")]
-    NotLeader(Option<String>),
+    NotLeader(Option<InstanceAddresses>),
     /// It may or may not be committed: send the same change again.
     #[display("leadership changed before the change was committed; send it again")]
     Unresolved,
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -2,10 +2,11 @@
 
 use super::{
     ControlClient,
+    api::{self, ApiDialect},
     command::{Claim, ClaimKey, ClaimedAttempt, Command, Outcome, Reply},
     limits::{LimitGrant, LimitWant},
     orders::Order,
-    peers::{self, Peers},
+    peers,
     replica::*,
     rpc::*,
     state::AcceptedDocument,
@@ -13,7 +14,8 @@
 use crate::{
     consensus::{Storage, StorageError},
     console::{Console, ConsoleStartError},
-    settings::{ControlSettings, PeerSettings},
+    http_server::HttpServer,
+    settings::ControlSettings,
     threads,
     units::*,
 };
@@ -32,6 +34,9 @@
 /// How long a stopping leader waits for another to take over.
 const HAND_OVER_MS: u64 = 300;
 
+/// How long calls in progress may take when an instance stops.
+const API_STOP_MS: u64 = 1000;
+
 /// Why a control instance cannot start.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum ControlStartError {
@@ -53,6 +58,7 @@
     rpc: ServerHandle,
     rpc_address: SocketAddr,
     console: Option<Console>,
+    api: Option<HttpServer>,
     stopped: oneshot::Receiver<()>,
 }
 
@@ -61,21 +67,17 @@
     ///
     /// # Errors
     /// Fails if the folder or an address cannot be used.
-    pub async fn spawn(settings: &ControlSettings) -> Result<Self, ControlStartError> {
-        let (storage, durable) = Storage::open(&settings.data_folder, settings.number)?;
-        let own = settings.own();
+    pub async fn spawn<D: ApiDialect>(
+        settings: &ControlSettings,
+        dialect: D,
+    ) -> Result<Self, ControlStartError> {
+        let (storage, durable) = Storage::open(&settings.replica_folder(), settings.number)?;
+        let own = settings.addresses();
         let peer_listener = TcpListener::bind(own.peer).await?;
-        let others = settings
-            .peers
-            .iter()
-            .filter(|peer| peer.number != settings.number);
-        let peers = Peers::spawn(others.map(|peer| (peer.number, peer.peer)).collect());
-        let instances = settings.peers.clone();
         let arguments = ReplicaArguments {
             storage,
             durable,
-            peers,
-            instances,
+            identity: settings.identity(),
         };
         let (started, ready) = oneshot::channel();
         let (ended, stopped) = oneshot::channel();
@@ -107,11 +109,16 @@
             Some(console) => Some(Console::bind(console, client_of(settings, rpc_address)).await?),
             None => None,
         };
+        let api = match own.api {
+            Some(address) => Some(api::serve(address, dialect, replica.clone()).await?),
+            None => None,
+        };
         Ok(Self {
             replica,
             rpc,
             rpc_address,
             console,
+            api,
             stopped,
         })
     }
@@ -136,10 +143,15 @@
         if let Some(console) = self.console {
             console.shutdown().await;
         }
+        tracing::info!("control: stops");
         let (port, done) = oneshot::channel();
         let _ = self.replica.cast(ReplicaMessage::HandOver(port));
         let _ = done.await;
         tokio::time::sleep(Duration::from_millis(HAND_OVER_MS)).await;
+        if let Some(api) = self.api {
+            let stopping = Duration::from_millis(API_STOP_MS);
+            let _ = tokio::time::timeout(stopping, api.shutdown()).await;
+        }
         let _ = self.rpc.stop();
         self.replica.stop(None);
         tracing::info!("control: stopped");
@@ -148,13 +160,11 @@
 
 /// A client of the whole group; this instance may listen at a port that was given to it.
 fn client_of(settings: &ControlSettings, rpc_address: SocketAddr) -> Arc<ControlClient> {
-    let address = |peer: &PeerSettings| match peer.number == settings.number {
-        true => rpc_address,
-        false => peer.rpc,
-    };
-    Arc::new(ControlClient::new(
-        settings.peers.iter().map(address).collect(),
-    ))
+    let own = settings.number;
+    let others = settings.peers.iter().filter(|peer| peer.number != own);
+    let mut addresses: Vec<SocketAddr> = others.map(|peer| peer.rpc).collect();
+    addresses.push(rpc_address);
+    Arc::new(ControlClient::new(addresses))
 }
 
 async fn tick(replica: ActorRef<ReplicaMessage>) {
@@ -212,6 +222,24 @@
         }
     }
 
+    async fn apply_highest(
+        &self,
+        version: DocumentVersion,
+        yaml: String,
+        source: String,
+    ) -> RpcResult<DocumentVersion> {
+        check(&yaml)?;
+        let command = Command::ApplyHighest {
+            version,
+            yaml,
+            source,
+        };
+        match self.propose(command).await? {
+            Reply::Applied(version) => Ok(version),
+            _ => Err(stopped()),
+        }
+    }
+
     async fn get(&self) -> RpcResult<AcceptedDocument> {
         self.ask(ReplicaMessage::Get).await
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -17,6 +17,8 @@
         pub change: ChangeId,
         /// The document.
         pub yaml: String,
+        /// The text as it was sent, where the operator has a format of their own.
+        pub source: Option<String>,
     }
 
     struct RememberedChange {
@@ -65,6 +67,11 @@
                 expected,
                 yaml,
             } => self.accept(change, expected, yaml),
+            Command::ApplyHighest {
+                version,
+                yaml,
+                source,
+            } => self.accept_highest(version, yaml, source),
             Command::Claim {
                 key,
                 fingerprint,
@@ -106,6 +113,7 @@
                 version,
                 change: change.clone(),
                 yaml,
+                source: None,
             };
             Reply::Applied(version)
         } else {
@@ -128,6 +136,19 @@
         reply
     }
 
+    /// The highest version takes effect; any other one is answered and changes nothing.
+    fn accept_highest(&mut self, version: DocumentVersion, yaml: String, source: String) -> Reply {
+        if version > self.document.version {
+            self.document = AcceptedDocument {
+                version,
+                change: ChangeId(format!("version-{version}")),
+                yaml,
+                source: Some(source),
+            };
+        }
+        Reply::Applied(self.document.version)
+    }
+
     fn make_claim(
         &mut self,
         key: ClaimKey,
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -6,7 +6,15 @@
 //! new work, as a newer document may be in force.
 
 use crate::{
-    control::{ControlClient, members::*, orders::TargetOrders, rpc::*},
+    clock,
+    control::{
+        ControlClient,
+        directory::{TargetEntry, TargetsSeen},
+        members::*,
+        orders::TargetOrders,
+        rpc::*,
+        shares::{Demand, Shares},
+    },
     document::Policy,
     threads,
     units::*,
@@ -16,7 +24,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex},
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::sync::watch;
 
@@ -37,19 +45,23 @@
     pub policy: Arc<Policy>,
     /// The agents that have a target.
     pub agents: Arc<BTreeMap<ProcessName, Member>>,
+    /// The targets that announced themselves to the control group; only for gateways.
+    pub targets: Arc<BTreeMap<TargetName, TargetEntry>>,
+    /// This gateway's parts of quotas and places, as last told.
+    pub shares: Option<Arc<Shares>>,
     /// The leader's fencing number.
     pub fencing: FencingNumber,
     /// The state that the target beside this process is to be in.
     pub orders: TargetOrders,
-    valid_until: Option<Instant>,
+    valid_until_ms: u64,
     members_seen: Option<MembersSeen>,
+    targets_seen: Option<TargetsSeen>,
 }
 
 impl View {
     /// Whether the view may be acted on.
     pub fn holds(&self) -> bool {
-        self.policy.version > DocumentVersion(0)
-            && self.valid_until.is_some_and(|until| Instant::now() < until)
+        self.policy.version > DocumentVersion(0) && clock::boot_ms() < self.valid_until_ms
     }
 
     /// The ready agents of a service.
@@ -69,6 +81,7 @@
     versions: watch::Receiver<DocumentVersion>,
     announcement: watch::Sender<Member>,
     load: Arc<Mutex<ProcessLoad>>,
+    demand: Arc<Mutex<Demand>>,
     client: Arc<ControlClient>,
 }
 
@@ -80,7 +93,9 @@
         let (announcement, announced) = watch::channel(member);
         let arguments = (Arc::clone(&view), version_sender);
         let load = Arc::new(Mutex::new(ProcessLoad::default()));
+        let demand = Arc::new(Mutex::new(Demand::default()));
         let renewing = Renewing {
+            demand: Arc::clone(&demand),
             client: Arc::clone(&client),
             view: Arc::clone(&view),
             load: Arc::clone(&load),
@@ -97,10 +112,16 @@
             versions,
             announcement,
             load,
+            demand,
             client,
         }
     }
 
+    /// Tells the leader what a gateway was asked for lately, with its next renewal.
+    pub fn report_demand(&self, demand: Demand) {
+        *self.demand.lock().expect("no holder panics") = demand;
+    }
+
     /// Tells operators what this process has in progress, with its next renewal.
     pub fn report_load(&self, load: ProcessLoad) {
         *self.load.lock().expect("no holder panics") = load;
@@ -132,7 +153,8 @@
     /// Says goodbye to the control group.
     pub async fn goodbye(&self) {
         let member = self.announcement.borrow().clone();
-        let request = request(member, ProcessLoad::default(), &self.load(), true);
+        let (load, demand) = (ProcessLoad::default(), Demand::default());
+        let request = request(member, load, demand, &self.load(), true);
         let call = self
             .client
             .call(GOODBYE_TIMEOUT_MS, GOODBYE_TIMEOUT_MS, |client| {
@@ -143,9 +165,17 @@
     }
 }
 
-fn request(member: Member, load: ProcessLoad, view: &View, goodbye: bool) -> SyncRequest {
+fn request(
+    member: Member,
+    load: ProcessLoad,
+    demand: Demand,
+    view: &View,
+    goodbye: bool,
+) -> SyncRequest {
     SyncRequest {
         load,
+        demand,
+        targets_seen: view.targets_seen.clone(),
         document_version: view.policy.version,
         members_wanted: member.role == ProcessRole::Entry,
         members_seen: view.members_seen.clone(),
@@ -160,16 +190,19 @@
     client: Arc<ControlClient>,
     view: Arc<ArcSwap<View>>,
     load: Arc<Mutex<ProcessLoad>>,
+    demand: Arc<Mutex<Demand>>,
     announced: watch::Receiver<Member>,
 }
 
 impl Renewing {
     async fn run(mut self, keeper: ActorRef<Renewed>) {
+        let mut lost = false;
         loop {
             let member = self.announced.borrow_and_update().clone();
-            let sent = Instant::now();
+            let sent_ms = clock::boot_ms();
+            let demand = self.demand.lock().expect("no holder panics").clone();
             let load = self.load.lock().expect("no holder panics").clone();
-            let request = request(member, load, &self.view.load(), false);
+            let request = request(member, load, demand, &self.view.load(), false);
             let renewal = self
                 .client
                 .call(RENEWAL_TIMEOUT_MS, RENEWAL_TIMEOUT_MS, |client| {
@@ -185,9 +218,22 @@
             };
             match reply {
                 Ok(reply) => {
-                    let _ = ractor::call!(keeper, |done| Renewed { reply, sent, done });
+                    if lost {
+                        tracing::info!("view: control group reached again");
+                    }
+                    lost = false;
+                    self.client.learn(&reply.control);
+                    let _ = ractor::call!(keeper, |done| Renewed {
+                        reply,
+                        sent_ms,
+                        done
+                    });
                 }
-                Err(error) => tracing::warn!("view: not renewed: {error}"),
+                Err(error) if !lost => {
+                    lost = true;
+                    tracing::warn!(%error, "view: not renewed");
+                }
+                Err(_) => {}
             }
         }
     }
@@ -196,7 +242,7 @@
 /// A reply to merge into the view.
 struct Renewed {
     reply: SyncReply,
-    sent: Instant,
+    sent_ms: u64,
     done: ractor::RpcReplyPort<()>,
 }
 
@@ -221,13 +267,17 @@
     async fn handle(
         &self,
         _myself: ActorRef<Self::Msg>,
-        Renewed { reply, sent, done }: Self::Msg,
+        Renewed {
+            reply,
+            sent_ms,
+            done,
+        }: Self::Msg,
         (view, versions): &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         let mut next = View::clone(&view.load());
         let held_ms = reply.held_ms.min(RENEWAL_WAIT_MS);
         if reply.fencing >= next.fencing && merge(&mut next, reply) {
-            next.valid_until = Some(sent + Duration::from_millis(held_ms + VIEW_LEASE_MS));
+            next.valid_until_ms = sent_ms + held_ms + VIEW_LEASE_MS;
             let version = next.policy.version;
             view.store(Arc::new(next));
             versions.send_if_modified(|known| std::mem::replace(known, version) != version);
@@ -275,7 +325,44 @@
         view.agents = Arc::new(agents);
         view.members_seen = Some(changes.seen);
     }
+    if let Some(changes) = reply.targets {
+        let settled = changes.seen.epoch.1;
+        let mut targets = match changes.whole && settled {
+            true => BTreeMap::new(),
+            false => BTreeMap::clone(&view.targets),
+        };
+        for name in &changes.removed {
+            targets.remove(name);
+        }
+        let present = changes.present.into_iter();
+        targets.extend(present.map(|target| (target.name.clone(), target)));
+        log_targets(&view.targets, &targets);
+        view.targets = Arc::new(targets);
+        view.targets_seen = Some(changes.seen);
+    }
+    if let Some(shares) = reply.shares {
+        view.shares = Some(Arc::new(shares));
+    }
     view.fencing = reply.fencing;
     view.orders = reply.orders;
     true
 }
+
+/// Logs which targets came, went or changed.
+fn log_targets(
+    before: &BTreeMap<TargetName, TargetEntry>,
+    after: &BTreeMap<TargetName, TargetEntry>,
+) {
+    for (name, target) in after {
+        if before.get(name) != Some(target) {
+            tracing::info!(
+                target = %name, service = %target.service, address = %target.address,
+                started_unix_ms = target.started_unix_ms, leaving = target.leaving,
+                "view: target changed"
+            );
+        }
+    }
+    for name in before.keys().filter(|name| !after.contains_key(*name)) {
+        tracing::info!(target = %name, "view: target gone");
+    }
+}
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -5,7 +5,7 @@
     agent::Agent,
     commands::CommandError,
     control::{
-        ControlClient, ControlServer,
+        ControlClient, ControlServer, NoApi,
         client::ControlCallError,
         rpc::{ApplyReply, ControlRpcClient},
     },
@@ -65,6 +65,7 @@
         number: 1,
         failure_domain: "dev".into(),
         peers: vec![own],
+        discovery: None,
         data_folder: folder.0.clone(),
         console: Some(ConsoleSettings {
             listen: loopback(0),
@@ -72,7 +73,7 @@
         }),
         telemetry: TelemetrySettings::default(),
     };
-    let control = ControlServer::spawn(&settings).await?;
+    let control = ControlServer::spawn(&settings, NoApi).await?;
     let control_addresses = vec![control.rpc_address()];
     let mut agents = Vec::new();
     let mut engines = Vec::new();
--- a/src/document.rs
+++ b/src/document.rs
@@ -4,7 +4,11 @@
 
 use crate::{document_check, document_types as types, units::*};
 use sha2::{Digest, Sha256};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
 use subtle::ConstantTimeEq;
 
 /// A tier as routing uses it.
@@ -32,13 +36,93 @@
 pub struct CustomerPolicy {
     /// Its name.
     pub name: CustomerName,
-    /// Its tier, unless a rule says otherwise.
-    pub tier: TierName,
+    /// Its tier, unless a rule says otherwise; on routes it goes before the route's.
+    pub tier: Option<TierName>,
     /// What it may use; no limit without one.
     pub contract: Option<ContractPolicy>,
+    /// What it may send by routes; no limit without one.
+    pub quota: Option<QuotaPolicy>,
     key_sha256: [u8; 32],
 }
 
+/// What a customer may send by routes, over all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaPolicy {
+    /// Whether it counts tokens; requests otherwise.
+    pub counts_tokens: bool,
+    /// Units a second.
+    pub rate_per_s: u64,
+    /// Units beyond the rate at one time.
+    pub burst: u64,
+    /// The tokens that a request counts as that states none.
+    pub plain_tokens: u64,
+}
+
+/// What may be repeated of a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// They may run more than once.
+    Idempotent,
+    /// Their streams may go on at another target after the last whole event.
+    Resumable,
+    /// They run at most once.
+    Never,
+}
+
+/// A route as gateways use it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutePolicy {
+    /// Its name.
+    pub name: String,
+    /// The start of the paths that it is for.
+    pub path_prefix: String,
+    /// Where its requests go, by weight.
+    pub targets: Vec<(ServiceName, u64)>,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// Whether the answer is a stream of events.
+    pub streams: bool,
+    /// The longest time until a final answer.
+    pub timeout_ms: u64,
+    /// The time within which an answer, or its first event, is of full value.
+    pub objective_ms: u64,
+    /// The longest pause between events that is of full value; 0 if none is stated.
+    pub pause_ms: u64,
+    /// Its tier's rank.
+    pub rank: TierRank,
+    /// How many targets one request may be sent to.
+    pub max_targets: u64,
+    /// Whether callers need no API key.
+    pub public: bool,
+    /// Whether requests share parts of their prompts.
+    pub shares_prefixes: bool,
+}
+
+/// What gateways accept of callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The longest head of a request.
+    pub header_bytes: u64,
+    /// The longest body of a request.
+    pub body_bytes: u64,
+    /// How long the head of a request may take to arrive.
+    pub header_timeout_ms: u64,
+    /// How long a connection may stay unused.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    /// What holds where the document says nothing.
+    fn default() -> Self {
+        Self {
+            header_bytes: 64 * 1024,
+            body_bytes: 16 * 1024 * 1024,
+            header_timeout_ms: 10_000,
+            idle_timeout_ms: 60_000,
+        }
+    }
+}
+
 /// A service as routing uses it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServicePolicy {
@@ -52,6 +136,8 @@
     pub max_tokens: TokenCount,
     /// Refuses non-idempotent requests without a key.
     pub requires_key: bool,
+    /// How many connections one target takes from all gateways; `None` means no limit.
+    pub max_connections: Option<u64>,
 }
 
 /// What the document says of one request.
@@ -75,7 +161,11 @@
     models: HashMap<String, ServiceName>,
     customers: HashMap<[u8; 8], Vec<CustomerPolicy>>,
     contracts: HashMap<CustomerName, ContractPolicy>,
+    has_customers: bool,
     rules: Vec<types::Rule>,
+    routes: HashMap<String, Vec<Arc<RoutePolicy>>>,
+    /// What gateways accept of callers.
+    pub caller_limits: CallerLimits,
 }
 
 impl Policy {
@@ -114,28 +204,60 @@
                 queue_requests: service.queue_requests.get() as usize,
                 max_tokens: TokenCount(service.max_tokens.get()),
                 requires_key: service.require_key,
+                max_connections: Some(service.max_connections).filter(|most| *most > 0),
             };
             policy.services.insert(name, compiled);
         }
         for customer in document.customers {
-            let key_sha256 = decode_sha256(&customer.key_sha256);
+            let first = customer.key_sha256.iter();
+            let keys = first.chain(&customer.more_keys_sha256);
+            let keys: Vec<[u8; 32]> = keys.map(|key| decode_sha256(key)).collect();
             let contract = customer.contract.map(|contract| ContractPolicy {
                 requests_per_s: contract.requests_per_s.get(),
                 concurrent_tokens: contract.concurrent_tokens.get(),
             });
             let name = CustomerName(customer.name.into());
-            let tier = TierName(customer.tier.into());
-            let prefix = key_prefix(&key_sha256);
+            let tier = customer.tier.map(|tier| TierName(tier.into()));
+            let quota = customer.quota.map(|quota| QuotaPolicy {
+                counts_tokens: quota.unit == types::QuotaUnit::Tokens,
+                rate_per_s: quota.rate_per_s,
+                burst: quota.burst,
+                plain_tokens: quota.plain_tokens,
+            });
+            let quota = quota.filter(|quota| quota.rate_per_s > 0);
             if let Some(contract) = contract {
                 policy.contracts.insert(name.clone(), contract);
             }
-            let compiled = CustomerPolicy {
-                name,
-                tier,
-                contract,
-                key_sha256,
+            for key_sha256 in keys {
+                let compiled = CustomerPolicy {
+                    name: name.clone(),
+                    tier: tier.clone(),
+                    contract,
+                    quota,
+                    key_sha256,
+                };
+                let prefix = key_prefix(&key_sha256);
+                policy.customers.entry(prefix).or_default().push(compiled);
+            }
+            policy.has_customers = true;
+        }
+        for route in document.routes {
+            let host = route.host.to_ascii_lowercase();
+            let rank = policy.tiers.get(&TierName::from(route.tier.as_str()));
+            let rank = rank.map_or(TierRank(0), |tier| tier.rank);
+            let compiled = Arc::new(compile_route(route, rank));
+            policy.routes.entry(host).or_default().push(compiled);
+        }
+        for routes in policy.routes.values_mut() {
+            routes.sort_by_key(|route| Reverse(route.path_prefix.len()));
+        }
+        if let Some(limits) = document.caller_limits {
+            policy.caller_limits = CallerLimits {
+                header_bytes: limits.max_header_bytes.get(),
+                body_bytes: limits.max_body_bytes.get(),
+                header_timeout_ms: limits.header_timeout_ms.get(),
+                idle_timeout_ms: limits.idle_timeout_ms.get(),
             };
-            policy.customers.entry(prefix).or_default().push(compiled);
         }
         Ok(policy)
     }
@@ -149,6 +271,30 @@
             .find(|customer| bool::from(customer.key_sha256.ct_eq(&sha256)))
     }
 
+    /// Whether there is any customer; routes need no API key otherwise.
+    pub fn has_customers(&self) -> bool {
+        self.has_customers
+    }
+
+    /// The route of a request: of those of its host, the one with the longest prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RoutePolicy>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.routes.get(name) {
+            Some(routes) => routes,
+            None => self.routes.get(&name.to_ascii_lowercase())?,
+        };
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// The rank of a request of a customer on a route.
+    pub fn rank(&self, customer: Option<&CustomerPolicy>, route: &RoutePolicy) -> TierRank {
+        let tier = customer.and_then(|customer| customer.tier.as_ref());
+        let tier = tier.and_then(|name| self.tiers.get(name));
+        tier.map_or(route.rank, |tier| tier.rank)
+    }
+
     /// The contract of a customer, if it has one.
     pub fn contract(&self, customer: &CustomerName) -> Option<ContractPolicy> {
         self.contracts.get(customer).copied()
@@ -191,8 +337,9 @@
             .iter()
             .find(|rule| matches(rule, customer, service, method, path));
         let tier = rule.and_then(|rule| rule.tier.as_ref());
-        let tier = tier.map_or(customer.tier.0.as_str(), |name| name.as_str());
-        let tier = self.tiers.get(&TierName::from(tier))?.clone();
+        let tier = tier.map(|name| TierName::from(name.as_str()));
+        let tier = tier.or_else(|| customer.tier.clone())?;
+        let tier = self.tiers.get(&tier)?.clone();
         let stated = rule.and_then(|rule| rule.idempotency);
         let idempotent = match stated {
             Some(stated) => stated == types::Idempotency::Idempotent,
@@ -207,6 +354,30 @@
     }
 }
 
+fn compile_route(route: types::Route, rank: TierRank) -> RoutePolicy {
+    let targets = route.targets.into_iter();
+    RoutePolicy {
+        name: route.name.into(),
+        path_prefix: route.path_prefix.into(),
+        targets: targets
+            .map(|target| (ServiceName(target.service.into()), target.weight as u64))
+            .collect(),
+        repeat: match route.repeat {
+            types::RouteRepeat::Idempotent => Repeat::Idempotent,
+            types::RouteRepeat::Resumable => Repeat::Resumable,
+            types::RouteRepeat::Never => Repeat::Never,
+        },
+        streams: route.streams,
+        timeout_ms: route.timeout_ms.get(),
+        objective_ms: route.objective_ms,
+        pause_ms: route.pause_ms,
+        rank,
+        max_targets: route.max_targets.get(),
+        public: route.public,
+        shares_prefixes: route.shares_prefixes,
+    }
+}
+
 fn matches(
     rule: &types::Rule,
     customer: &CustomerPolicy,
--- a/src/document_check.rs
+++ b/src/document_check.rs
@@ -60,7 +60,14 @@
 }
 
 fn parse(yaml: &str) -> Result<types::Document, Faults> {
-    let value: serde_json::Value = serde_norway::from_str(yaml).map_err(|error| {
+    // JSON is YAML, and is read faster by a parser of its own.
+    let json = yaml
+        .starts_with('{')
+        .then(|| serde_json::from_str(yaml).ok());
+    let read = json
+        .flatten()
+        .map_or_else(|| serde_norway::from_str(yaml), Ok);
+    let value: serde_json::Value = read.map_err(|error| {
         let line = error.location().map_or(0, |location| location.line());
         let message = format!("this is not YAML: {error}");
         Faults(vec![Fault {
@@ -183,13 +190,22 @@
             let message = format!("the customer {:?} is defined twice", *customer.name);
             report(format!("/customers/{i}/name"), message);
         }
-        if let Some(first) = keys.insert(customer.key_sha256.as_str(), customer.name.as_str()) {
-            let message = format!("the customer {first:?} has the same key");
-            report(format!("/customers/{i}/key_sha256"), message);
+        let own = customer.key_sha256.iter().chain(&customer.more_keys_sha256);
+        for key in own {
+            if let Some(first) = keys.insert(key.as_str(), customer.name.as_str()) {
+                let message = format!("the customer {first:?} has the same key");
+                report(format!("/customers/{i}/key_sha256"), message);
+            }
         }
-        if !tiers.contains(customer.tier.as_str()) {
-            let message = unknown("tier", &customer.tier, &tiers);
-            report(format!("/customers/{i}/tier"), message);
+        if let Some(tier) = customer
+            .tier
+            .as_ref()
+            .filter(|tier| !tiers.contains(tier.as_str()))
+        {
+            report(
+                format!("/customers/{i}/tier"),
+                unknown("tier", tier, &tiers),
+            );
         }
     }
     for (i, rule) in document.rules.iter().enumerate() {
@@ -211,6 +227,29 @@
             }
         }
     }
+    let mut places = BTreeSet::new();
+    for (i, route) in document.routes.iter().enumerate() {
+        if !places.insert((route.host.to_ascii_lowercase(), route.path_prefix.as_str())) {
+            let message = "another route has the same host and path prefix".to_string();
+            report(format!("/routes/{i}/path_prefix"), message);
+        }
+        if !tiers.contains(route.tier.as_str()) {
+            report(
+                format!("/routes/{i}/tier"),
+                unknown("tier", &route.tier, &tiers),
+            );
+        }
+        if route.targets.iter().all(|target| target.weight == 0) {
+            let message = "at least one weight is above 0".to_string();
+            report(format!("/routes/{i}/targets"), message);
+        }
+        for (j, target) in route.targets.iter().enumerate() {
+            if !services.contains(target.service.as_str()) {
+                let message = unknown("service", &target.service, &services);
+                report(format!("/routes/{i}/targets/{j}/service"), message);
+            }
+        }
+    }
     faults
 }
 
--- a/src/document_types.rs
+++ b/src/document_types.rs
@@ -3,6 +3,19 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
+#[doc = "What gateways accept of callers."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    #[doc = "How long the head of a request may take to arrive."]
+    pub header_timeout_ms: ::std::num::NonZeroU64,
+    #[doc = "How long a connection may stay unused."]
+    pub idle_timeout_ms: ::std::num::NonZeroU64,
+    #[doc = "The longest body of a request."]
+    pub max_body_bytes: ::std::num::NonZeroU64,
+    #[doc = "The longest head of a request."]
+    pub max_header_bytes: ::std::num::NonZeroU64,
+}
 #[doc = "What a customer may use, over all entries together."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -18,27 +31,105 @@
 pub struct Customer {
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub contract: ::std::option::Option<Contract>,
-    #[doc = "The SHA-256 of the customer's API key, in hexadecimal."]
-    pub key_sha256: CustomerKeySha256,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub key_sha256: ::std::option::Option<KeySha256>,
+    #[doc = "Further API keys, as `key_sha256`."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub more_keys_sha256: ::std::vec::Vec<KeySha256>,
     pub name: Name,
-    pub tier: Name,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub quota: ::std::option::Option<Quota>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub tier: ::std::option::Option<Name>,
+}
+#[doc = "The one document that changes what guavacove does."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub caller_limits: ::std::option::Option<CallerLimits>,
+    #[doc = "Who may send requests."]
+    pub customers: ::std::vec::Vec<Customer>,
+    #[doc = "The version of this format."]
+    pub format: ::std::num::NonZeroU64,
+    #[doc = "Requests that gateways route by host and path. No two have the same host and path prefix."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub routes: ::std::vec::Vec<Route>,
+    #[doc = "Which requests are idempotent, and which tier they have. The first rule that matches decides."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub rules: ::std::vec::Vec<Rule>,
+    #[doc = "The services that requests are routed to."]
+    pub services: ::std::vec::Vec<Service>,
+    #[doc = "The tiers; no two have the same rank."]
+    pub tiers: ::std::vec::Vec<Tier>,
 }
-#[doc = "The SHA-256 of the customer's API key, in hexadecimal."]
+#[doc = "Whether running a request twice is harmless."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum Idempotency {
+    #[serde(rename = "idempotent")]
+    Idempotent,
+    #[serde(rename = "non-idempotent")]
+    NonIdempotent,
+}
+impl ::std::fmt::Display for Idempotency {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Idempotent => f.write_str("idempotent"),
+            Self::NonIdempotent => f.write_str("non-idempotent"),
+        }
+    }
+}
+impl ::std::str::FromStr for Idempotency {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "idempotent" => Ok(Self::Idempotent),
+            "non-idempotent" => Ok(Self::NonIdempotent),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Idempotency {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Idempotency {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+#[doc = "The SHA-256 of a customer's API key, in hexadecimal."]
 #[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[serde(transparent)]
-pub struct CustomerKeySha256(::std::string::String);
-impl ::std::ops::Deref for CustomerKeySha256 {
+pub struct KeySha256(::std::string::String);
+impl ::std::ops::Deref for KeySha256 {
     type Target = ::std::string::String;
     fn deref(&self) -> &::std::string::String {
         &self.0
     }
 }
-impl ::std::convert::From<CustomerKeySha256> for ::std::string::String {
-    fn from(value: CustomerKeySha256) -> Self {
+impl ::std::convert::From<KeySha256> for ::std::string::String {
+    fn from(value: KeySha256) -> Self {
         value.0
     }
 }
-impl ::std::str::FromStr for CustomerKeySha256 {
+impl ::std::str::FromStr for KeySha256 {
     type Err = self::error::ConversionError;
     fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
@@ -49,13 +140,13 @@
         Ok(Self(value.to_string()))
     }
 }
-impl ::std::convert::TryFrom<&str> for CustomerKeySha256 {
+impl ::std::convert::TryFrom<&str> for KeySha256 {
     type Error = self::error::ConversionError;
     fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
-impl ::std::convert::TryFrom<::std::string::String> for CustomerKeySha256 {
+impl ::std::convert::TryFrom<::std::string::String> for KeySha256 {
     type Error = self::error::ConversionError;
     fn try_from(
         value: ::std::string::String,
@@ -63,7 +154,7 @@
         value.parse()
     }
 }
-impl<'de> ::serde::Deserialize<'de> for CustomerKeySha256 {
+impl<'de> ::serde::Deserialize<'de> for KeySha256 {
     fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
     where
         D: ::serde::Deserializer<'de>,
@@ -75,23 +166,74 @@
             })
     }
 }
-#[doc = "The one document that changes what guavacove does."]
+#[doc = "A name: lower-case letters, digits and hyphens, 63 at most."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct Name(::std::string::String);
+impl ::std::ops::Deref for Name {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<Name> for ::std::string::String {
+    fn from(value: Name) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for Name {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
+            ::std::sync::LazyLock::new(|| {
+                ::regress::Regex::new("^[a-z0-9][a-z0-9-]{0,62}$").unwrap()
+            });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Name {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Name {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for Name {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "What a customer may send by routes, over all gateways together: a rate and a burst."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct Document {
-    #[doc = "Who may send requests."]
-    pub customers: ::std::vec::Vec<Customer>,
-    #[doc = "The version of this format."]
-    pub format: ::std::num::NonZeroU64,
-    #[doc = "Which requests are idempotent, and which tier they have. The first rule that matches decides."]
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub rules: ::std::vec::Vec<Rule>,
-    #[doc = "The services that requests are routed to."]
-    pub services: ::std::vec::Vec<Service>,
-    #[doc = "The tiers; no two have the same rank."]
-    pub tiers: ::std::vec::Vec<Tier>,
-}
-#[doc = "Whether running a request twice is harmless."]
+pub struct Quota {
+    #[doc = "Requests or tokens beyond the rate at one time."]
+    pub burst: u64,
+    #[doc = "The tokens that a request counts as that states none."]
+    #[serde(default = "defaults::default_u64::<u64, 1>")]
+    pub plain_tokens: u64,
+    #[doc = "Requests or tokens a second; 0 means no limit."]
+    pub rate_per_s: u64,
+    pub unit: QuotaUnit,
+}
+#[doc = "What a quota counts."]
 #[derive(
     :: serde :: Deserialize,
     :: serde :: Serialize,
@@ -104,37 +246,37 @@
     PartialEq,
     PartialOrd,
 )]
-pub enum Idempotency {
-    #[serde(rename = "idempotent")]
-    Idempotent,
-    #[serde(rename = "non-idempotent")]
-    NonIdempotent,
+pub enum QuotaUnit {
+    #[serde(rename = "requests")]
+    Requests,
+    #[serde(rename = "tokens")]
+    Tokens,
 }
-impl ::std::fmt::Display for Idempotency {
+impl ::std::fmt::Display for QuotaUnit {
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
         match *self {
-            Self::Idempotent => f.write_str("idempotent"),
-            Self::NonIdempotent => f.write_str("non-idempotent"),
+            Self::Requests => f.write_str("requests"),
+            Self::Tokens => f.write_str("tokens"),
         }
     }
 }
-impl ::std::str::FromStr for Idempotency {
+impl ::std::str::FromStr for QuotaUnit {
     type Err = self::error::ConversionError;
     fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
-            "idempotent" => Ok(Self::Idempotent),
-            "non-idempotent" => Ok(Self::NonIdempotent),
+            "requests" => Ok(Self::Requests),
+            "tokens" => Ok(Self::Tokens),
             _ => Err("invalid value".into()),
         }
     }
 }
-impl ::std::convert::TryFrom<&str> for Idempotency {
+impl ::std::convert::TryFrom<&str> for QuotaUnit {
     type Error = self::error::ConversionError;
     fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
-impl ::std::convert::TryFrom<::std::string::String> for Idempotency {
+impl ::std::convert::TryFrom<::std::string::String> for QuotaUnit {
     type Error = self::error::ConversionError;
     fn try_from(
         value: ::std::string::String,
@@ -142,41 +284,178 @@
         value.parse()
     }
 }
-#[doc = "A name: lower-case letters, digits and hyphens, 63 at most."]
+#[doc = "Requests of one host whose path begins with a prefix. The longest prefix decides."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    #[doc = "The host that callers name."]
+    pub host: RouteHost,
+    #[doc = "How many targets one request may be sent to."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 1>")]
+    pub max_targets: ::std::num::NonZeroU64,
+    #[doc = "Names the route."]
+    pub name: RouteName,
+    #[doc = "The time within which an answer is of full value; of a stream, its first event."]
+    pub objective_ms: u64,
+    #[doc = "Begins and ends with a slash."]
+    pub path_prefix: RoutePathPrefix,
+    #[doc = "The longest pause between events of a stream that is of full value; 0 means that none is stated."]
+    #[serde(default)]
+    pub pause_ms: u64,
+    #[doc = "Whether callers need no API key."]
+    #[serde(default)]
+    pub public: bool,
+    pub repeat: RouteRepeat,
+    #[doc = "Whether requests share parts of their prompts."]
+    #[serde(default)]
+    pub shares_prefixes: bool,
+    #[doc = "Whether the answer is a stream of events."]
+    pub streams: bool,
+    #[doc = "Where the requests go."]
+    pub targets: ::std::vec::Vec<RouteTarget>,
+    pub tier: Name,
+    #[doc = "The longest time until a final answer, in milliseconds."]
+    pub timeout_ms: ::std::num::NonZeroU64,
+}
+#[doc = "The host that callers name."]
 #[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[serde(transparent)]
-pub struct Name(::std::string::String);
-impl ::std::ops::Deref for Name {
+pub struct RouteHost(::std::string::String);
+impl ::std::ops::Deref for RouteHost {
     type Target = ::std::string::String;
     fn deref(&self) -> &::std::string::String {
         &self.0
     }
 }
-impl ::std::convert::From<Name> for ::std::string::String {
-    fn from(value: Name) -> Self {
+impl ::std::convert::From<RouteHost> for ::std::string::String {
+    fn from(value: RouteHost) -> Self {
         value.0
     }
 }
-impl ::std::str::FromStr for Name {
+impl ::std::str::FromStr for RouteHost {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 255usize {
+            return Err("longer than 255 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RouteHost {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RouteHost {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for RouteHost {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "Names the route."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct RouteName(::std::string::String);
+impl ::std::ops::Deref for RouteName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<RouteName> for ::std::string::String {
+    fn from(value: RouteName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for RouteName {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 200usize {
+            return Err("longer than 200 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RouteName {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RouteName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for RouteName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "Begins and ends with a slash."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct RoutePathPrefix(::std::string::String);
+impl ::std::ops::Deref for RoutePathPrefix {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<RoutePathPrefix> for ::std::string::String {
+    fn from(value: RoutePathPrefix) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for RoutePathPrefix {
     type Err = self::error::ConversionError;
     fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
-            ::std::sync::LazyLock::new(|| {
-                ::regress::Regex::new("^[a-z0-9][a-z0-9-]{0,62}$").unwrap()
-            });
+            ::std::sync::LazyLock::new(|| ::regress::Regex::new("^/(.*/)?$").unwrap());
         if PATTERN.find(value).is_none() {
-            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9-]{0,62}$\"".into());
+            return Err("doesn't match pattern \"^/(.*/)?$\"".into());
         }
         Ok(Self(value.to_string()))
     }
 }
-impl ::std::convert::TryFrom<&str> for Name {
+impl ::std::convert::TryFrom<&str> for RoutePathPrefix {
     type Error = self::error::ConversionError;
     fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
-impl ::std::convert::TryFrom<::std::string::String> for Name {
+impl ::std::convert::TryFrom<::std::string::String> for RoutePathPrefix {
     type Error = self::error::ConversionError;
     fn try_from(
         value: ::std::string::String,
@@ -184,7 +463,7 @@
         value.parse()
     }
 }
-impl<'de> ::serde::Deserialize<'de> for Name {
+impl<'de> ::serde::Deserialize<'de> for RoutePathPrefix {
     fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
     where
         D: ::serde::Deserializer<'de>,
@@ -196,6 +475,69 @@
             })
     }
 }
+#[doc = "What may be repeated: `idempotent` requests may run more than once, `resumable` streams may go on at another target after their last event, anything else runs at most once."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum RouteRepeat {
+    #[serde(rename = "idempotent")]
+    Idempotent,
+    #[serde(rename = "resumable")]
+    Resumable,
+    #[serde(rename = "never")]
+    Never,
+}
+impl ::std::fmt::Display for RouteRepeat {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Idempotent => f.write_str("idempotent"),
+            Self::Resumable => f.write_str("resumable"),
+            Self::Never => f.write_str("never"),
+        }
+    }
+}
+impl ::std::str::FromStr for RouteRepeat {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "idempotent" => Ok(Self::Idempotent),
+            "resumable" => Ok(Self::Resumable),
+            "never" => Ok(Self::Never),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for RouteRepeat {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RouteRepeat {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+#[doc = "A service that a route sends to, and its part of the requests."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RouteTarget {
+    pub service: Name,
+    #[doc = "Its part, as against the sum of the weights of the route."]
+    pub weight: i64,
+}
 #[doc = "Says of some requests whether they are idempotent and which tier they have."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -332,6 +674,9 @@
 #[serde(deny_unknown_fields)]
 pub struct Service {
     pub kind: ServiceKind,
+    #[doc = "How many connections one target takes from all gateways together; 0 means no limit."]
+    #[serde(default)]
+    pub max_connections: u64,
     #[doc = "The tokens assumed for an answer that names no limit."]
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 512>")]
     pub max_tokens: ::std::num::NonZeroU64,
@@ -462,6 +807,13 @@
 }
 #[doc = " Generation of default values for serde."]
 pub mod defaults {
+    pub(super) fn default_u64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<u64>,
+        <T as ::std::convert::TryFrom<u64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(V).unwrap()
+    }
     pub(super) fn default_nzu64<T, const V: u64>() -> T
     where
         T: ::std::convert::TryFrom<::std::num::NonZeroU64>,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,7 +8,7 @@
 mod journal;
 mod limits;
 mod places;
-mod refusal;
+pub(crate) mod refusal;
 mod request;
 mod response;
 pub mod routing;
--- /dev/null
+++ b/src/gateway/attempts.rs
@@ -0,0 +1,438 @@
+//! The attempts of one request: places, sends, repeats, and how it ends.
+
+use super::{
+    body::Relay,
+    connections::{CallError, Connection, Connections},
+    dialect::{Forwarded, TrafficDialect},
+    inbound::{Inbound, end_to_end},
+    quotas::Quotas,
+    repeats::Repeats,
+    targets::{Place, Targets, Want},
+    waiting_line::Waiting,
+};
+use crate::{
+    clock,
+    document::Repeat,
+    entry::refusal::Refusal,
+    units::*,
+    verdict::{Reason, Verdict},
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time::timeout;
+
+/// The longest plain answer that is read whole before any of it is passed on, so that one
+/// that breaks off can be told from a whole one.
+const WHOLE_BYTES: usize = 1024 * 1024;
+/// The most targets that are tried for a request that none has run.
+const MOST_TRIES: usize = 4;
+/// How long a plain request that may be repeated waits for an answer before another target
+/// is tried: a third of the time left, but no less than this.
+const PATIENCE_MS: u64 = 300;
+/// How long a stream that may go on elsewhere may take to begin, as against its objective.
+const FIRST_EVENT_OBJECTIVES: u64 = 2;
+/// And no less than this: shorter waits are ordinary under load.
+const FIRST_EVENT_MS: u64 = 1500;
+/// The advice when to come back after a failure that no wait mends.
+const RETRY_AFTER_MS: u64 = 250;
+
+/// What the attempts of all requests share.
+pub struct Attempts<D> {
+    /// The headers' dialect.
+    pub dialect: D,
+    /// The targets.
+    pub targets: Arc<Targets>,
+    /// Connections to them.
+    pub connections: Connections,
+    /// The budget of repeats.
+    pub repeats: Mutex<Repeats>,
+    /// Customers' quotas.
+    pub quotas: Mutex<Quotas>,
+}
+
+/// What became of a request.
+pub enum Answer<D> {
+    /// The answer is all here.
+    Whole(Response<Full<Bytes>>),
+    /// Its head is here and its body is on its way.
+    Streams(Response<()>, Box<Relay<D>>),
+}
+
+/// One answer of a target, not yet judged.
+pub struct Reply {
+    /// Its head, and its body on its way.
+    pub response: Response<Incoming>,
+    /// The connection, kept until the body has been read.
+    pub connection: Connection,
+    /// The place, given back after that.
+    pub place: Place,
+}
+
+/// How one send ended.
+enum Sent {
+    Answered(Box<Reply>),
+    /// It did not run there.
+    NotRun(Reason, String),
+    /// It may have run there.
+    Failed(Reason, String),
+}
+
+/// The progress of one request.
+#[derive(Default)]
+pub struct Progress {
+    /// Targets that were tried.
+    pub tried: Vec<TargetName>,
+    /// Sends that reached a target.
+    pub arrivals: u64,
+    /// Sends that a target may have run.
+    pub runs: u64,
+}
+
+impl<D: TrafficDialect> Attempts<D> {
+    /// Sends a request until it is answered, or given up.
+    ///
+    /// # Errors
+    /// Fails with a refusal that tells whether it may have run.
+    pub async fn serve(self: &Arc<Self>, inbound: Arc<Inbound>) -> Result<Answer<D>, Refusal> {
+        self.admit(&inbound)?;
+        self.repeats().count(&inbound.service, clock::boot_ms());
+        let mut progress = Progress::default();
+        let answer = self.attempt(&inbound, &mut progress).await;
+        if let (Err(refusal), Some(customer)) = (&answer, &inbound.customer)
+            && refusal.verdict == Verdict::NotRun
+        {
+            self.quotas()
+                .give_back(&customer.name, inbound.quota_units());
+        }
+        answer
+    }
+
+    async fn attempt(
+        self: &Arc<Self>,
+        inbound: &Arc<Inbound>,
+        progress: &mut Progress,
+    ) -> Result<Answer<D>, Refusal> {
+        loop {
+            match self
+                .send(inbound, progress, inbound.asked.resume_after)
+                .await?
+            {
+                Sent::Answered(reply) => {
+                    if let Some(answer) = self.judge(inbound, progress, *reply).await? {
+                        return Ok(answer);
+                    }
+                }
+                Sent::NotRun(reason, message) => {
+                    let refusal = Refusal::not_run(reason, message).retry_after(RETRY_AFTER_MS);
+                    self.try_again(inbound, progress, refusal)?;
+                }
+                Sent::Failed(reason, message) => {
+                    let refusal = Refusal::may_have_run(reason, message);
+                    self.try_again(inbound, progress, refusal)?;
+                }
+            }
+        }
+    }
+
+    /// Admits a request within its customer's quota.
+    fn admit(&self, inbound: &Inbound) -> Result<(), Refusal> {
+        let Some((customer, quota)) = inbound.customer.as_ref().and_then(|c| Some((c, c.quota?)))
+        else {
+            return Ok(());
+        };
+        let (units, now_ms) = (inbound.quota_units(), clock::boot_ms());
+        let taken = self.quotas().take(&customer.name, quota, units, now_ms);
+        taken.map_err(|wait_ms| {
+            let message = format!("the quota of {} allows no more at present", customer.name);
+            Refusal::not_run(Reason::OverLimit, message).retry_after(wait_ms.max(1))
+        })
+    }
+
+    /// Whether the request may be sent once more; fails with what it has come to otherwise.
+    fn try_again(
+        &self,
+        inbound: &Inbound,
+        progress: &Progress,
+        refusal: Refusal,
+    ) -> Result<(), Refusal> {
+        let may_repeat = progress.runs == 0 || inbound.route.repeat != Repeat::Never;
+        let runs_left = progress.runs < inbound.route.max_targets;
+        let tries_left = progress.tried.len() < MOST_TRIES;
+        // What ran once is not refused as "not run", whatever came after.
+        let refusal = match progress.runs {
+            0 => refusal,
+            _ => Refusal {
+                verdict: Verdict::MayHaveRun,
+                retry_after_ms: None,
+                ..refusal
+            },
+        };
+        if !may_repeat || !runs_left || !tries_left || inbound.left_ms() == 0 {
+            return Err(refusal);
+        }
+        match progress.arrivals == 0 || self.spend(&inbound.service) {
+            true => {
+                tracing::info!(
+                    request = inbound.id, reason = %refusal.reason, verdict = %refusal.verdict,
+                    tries = progress.tried.len(), "gateway: tried again"
+                );
+                Ok(())
+            }
+            false => Err(refusal),
+        }
+    }
+
+    /// Spends one repeat of the budget, if it allows one.
+    pub fn spend(&self, service: &ServiceName) -> bool {
+        let gateways = self.quotas().gateways();
+        let allowed = self.repeats().spend(service, gateways, clock::boot_ms());
+        if !allowed {
+            tracing::info!(%service, "gateway: budget of repeats is used up");
+        }
+        allowed
+    }
+
+    /// Finds a place and sends the request there.
+    async fn send(
+        self: &Arc<Self>,
+        inbound: &Inbound,
+        progress: &mut Progress,
+        resume_after: Option<u64>,
+    ) -> Result<Sent, Refusal> {
+        let place = self.place(inbound, progress).await?;
+        progress.tried.push(place.target.name.clone());
+        let Some(request) = self.message(inbound, &place, resume_after) else {
+            return Err(Refusal::not_run(
+                Reason::BadRequest,
+                "the request cannot be passed on",
+            ));
+        };
+        let sent_ms = clock::boot_ms();
+        let patience_ms = self.patience_ms(inbound, progress);
+        let calling = self.connections.call(&place.target, request);
+        let called = timeout(Duration::from_millis(patience_ms), calling).await;
+        let took_ms = clock::boot_ms() - sent_ms;
+        let (response, connection) = match called {
+            Ok(Ok(answered)) => answered,
+            Ok(Err(CallError {
+                verdict: Verdict::NotRun,
+                reason,
+                error,
+            })) => {
+                place.failed(&error);
+                return Ok(Sent::NotRun(reason, error));
+            }
+            Ok(Err(CallError { reason, error, .. })) => {
+                progress.arrivals += 1;
+                progress.runs += 1;
+                place.failed(&error);
+                return Ok(Sent::Failed(reason, error));
+            }
+            Err(_) => {
+                progress.arrivals += 1;
+                progress.runs += 1;
+                let message = format!("no answer within {took_ms} ms");
+                place.failed(&message);
+                return Ok(Sent::Failed(Reason::Expired, message));
+            }
+        };
+        progress.arrivals += 1;
+        let answered = self.dialect.answered(response.status(), response.headers());
+        let asked = inbound.asked.id.as_ref();
+        let crossed = answered
+            .id
+            .as_ref()
+            .is_some_and(|id| asked.is_some_and(|asked| asked != id));
+        match () {
+            () if crossed => {
+                progress.runs += 1;
+                let message = "an answer to another request came".to_string();
+                Ok(Sent::Failed(Reason::TargetFailed, message))
+            }
+            () if answered.not_run => {
+                place.full();
+                let status = response.status().as_u16();
+                tracing::info!(request = inbound.id, target = %place.target.name, status, "gateway: target did not run it");
+                let message = format!("the target refused it with {status}");
+                Ok(Sent::NotRun(Reason::Shed, message))
+            }
+            () => {
+                progress.runs += 1;
+                if response.status().is_success() {
+                    place.measured(took_ms);
+                }
+                Ok(Sent::Answered(Box::new(Reply {
+                    response,
+                    connection,
+                    place,
+                })))
+            }
+        }
+    }
+
+    /// Sends a stream on at another target after the last event that the caller has.
+    pub async fn resume(
+        self: &Arc<Self>,
+        inbound: &Inbound,
+        progress: &mut Progress,
+        last_id: Option<u64>,
+    ) -> Option<Reply> {
+        let refusal = Refusal::may_have_run(Reason::TargetFailed, "the stream broke off");
+        self.try_again(inbound, progress, refusal).ok()?;
+        match self.send(inbound, progress, last_id).await {
+            Ok(Sent::Answered(reply)) if reply.response.status().is_success() => Some(*reply),
+            _ => None,
+        }
+    }
+
+    async fn place(
+        self: &Arc<Self>,
+        inbound: &Inbound,
+        progress: &Progress,
+    ) -> Result<Place, Refusal> {
+        let waiting = Waiting {
+            rank: inbound.rank,
+            arrived_ms: inbound.arrived_ms,
+            objective_at_ms: inbound.arrived_ms + inbound.route.objective_ms,
+            deadline_at_ms: inbound.due_ms,
+            work_ms: inbound
+                .asked
+                .answer_tokens
+                .unwrap_or(0)
+                .min(inbound.asked.likely_answer_tokens.unwrap_or(u64::MAX)),
+        };
+        let want = Want {
+            request: &inbound.id,
+            service: &inbound.service,
+            waiting,
+            prefix: inbound.prefix(),
+            tried: &progress.tried,
+        };
+        let placed = self.targets.place(&want).await;
+        placed.map_err(|refusal| match progress.runs {
+            0 => refusal,
+            _ => Refusal::may_have_run(
+                Reason::TargetFailed,
+                "a target failed, and no other one takes it",
+            ),
+        })
+    }
+
+    /// The message to a target.
+    fn message(
+        &self,
+        inbound: &Inbound,
+        place: &Place,
+        resume_after: Option<u64>,
+    ) -> Option<Request<Full<Bytes>>> {
+        let mut headers = inbound.headers.clone();
+        let forwarded = Forwarded {
+            target: &place.target.name,
+            customer: inbound.customer.as_ref().map(|customer| &customer.name),
+            deadline_ms: inbound.left_ms().max(1),
+            resume_after,
+        };
+        self.dialect.forward(&mut headers, &forwarded);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        let path = inbound.uri.path_and_query()?.as_str();
+        let mut request = Request::builder()
+            .method(inbound.method.clone())
+            .uri(path)
+            .body(Full::new(inbound.body.clone()))
+            .ok()?;
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    /// How long a send may take to be answered before the request is tried elsewhere.
+    fn patience_ms(&self, inbound: &Inbound, progress: &Progress) -> u64 {
+        let left_ms = inbound.left_ms();
+        let route = &inbound.route;
+        let another = progress.runs + 1 < route.max_targets;
+        match route.repeat {
+            Repeat::Idempotent if another => (left_ms / 3).max(PATIENCE_MS).min(left_ms),
+            Repeat::Resumable if another => {
+                let begin_ms = (route.objective_ms * FIRST_EVENT_OBJECTIVES).max(FIRST_EVENT_MS);
+                begin_ms.min(left_ms)
+            }
+            _ => left_ms,
+        }
+    }
+
+    /// Turns a target's answer into the caller's; `None` if the request is to be tried again.
+    async fn judge(
+        self: &Arc<Self>,
+        inbound: &Arc<Inbound>,
+        progress: &mut Progress,
+        reply: Reply,
+    ) -> Result<Option<Answer<D>>, Refusal> {
+        let status = reply.response.status();
+        let streams = inbound.route.streams && status.is_success();
+        let failed = status.is_server_error() && inbound.route.repeat != Repeat::Never;
+        let length = reply.response.headers().get(header::CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+        if streams || length.is_some_and(|length| length > WHOLE_BYTES) {
+            let progress = std::mem::take(progress);
+            let (head, relay) =
+                Relay::begin(Arc::clone(self), Arc::clone(inbound), progress, reply);
+            return Ok(Some(Answer::Streams(head, Box::new(relay))));
+        }
+        let Reply {
+            response,
+            connection,
+            place,
+        } = reply;
+        let (parts, body) = response.into_parts();
+        let reading = Limited::new(body, WHOLE_BYTES).collect();
+        let read = timeout(Duration::from_millis(inbound.left_ms()), reading).await;
+        let body = match read {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => {
+                place.failed(&error.to_string());
+                let message = format!("the answer broke off: {error}");
+                let refusal = Refusal::may_have_run(Reason::TargetFailed, message);
+                return self.try_again(inbound, progress, refusal).map(|()| None);
+            }
+            Err(_) => {
+                let message = "the answer did not come whole in time";
+                return Err(Refusal::may_have_run(Reason::Expired, message));
+            }
+        };
+        self.connections.keep(&place.target, connection);
+        if failed {
+            let message = format!("the target failed with {}", status.as_u16());
+            place.failed(&message);
+            let refusal = Refusal::may_have_run(Reason::TargetFailed, message);
+            if self.try_again(inbound, progress, refusal).is_ok() {
+                return Ok(None);
+            }
+        }
+        log_answer(inbound, &place, status, progress);
+        let mut response = Response::new(Full::new(body));
+        *response.status_mut() = status;
+        *response.headers_mut() = end_to_end(parts.headers);
+        Ok(Some(Answer::Whole(response)))
+    }
+
+    fn repeats(&self) -> std::sync::MutexGuard<'_, Repeats> {
+        self.repeats.lock().expect("no holder panics")
+    }
+
+    fn quotas(&self) -> std::sync::MutexGuard<'_, Quotas> {
+        self.quotas.lock().expect("no holder panics")
+    }
+}
+
+fn log_answer(inbound: &Inbound, place: &Place, status: StatusCode, progress: &Progress) {
+    tracing::info!(
+        request = inbound.id, route = inbound.route.name, target = %place.target.name,
+        status = status.as_u16(), took_ms = clock::boot_ms() - inbound.arrived_ms,
+        tries = progress.tried.len(), version = inbound.version.0, "gateway: answered"
+    );
+}
--- /dev/null
+++ b/src/gateway/connections.rs
@@ -0,0 +1,218 @@
+//! Connections to targets, kept and used again.
+
+use crate::{
+    control::directory::TargetEntry,
+    units::TargetName,
+    verdict::{Reason, Verdict},
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+    header,
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::{
+    collections::HashMap,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+/// How long a connection may take to be made: some round trips, one of them lost.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+/// How long sent bytes may stay unacknowledged: a target that is cut off or has lost its
+/// power is noticed within this time.
+const UNACKNOWLEDGED_MS: u64 = 1500;
+/// How long a connection is silent before it is probed, and how often.
+const PROBE_MS: u64 = 1000;
+/// How long an unused connection is kept if the target does not say.
+const IDLE_MS: u64 = 4000;
+/// How much sooner than the target closes it a connection is not used any more.
+const IDLE_MARGIN_MS: u64 = 700;
+
+/// A connection to a target. Dropping it closes it, which cancels what runs on it.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    idle_ms: u64,
+    used: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Why a call brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("{reason}: {error}")]
+pub struct CallError {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// The stable word.
+    pub reason: Reason,
+    /// What went wrong.
+    #[error(not(source))]
+    pub error: String,
+}
+
+/// The idle connections of a gateway, by target.
+#[derive(Default)]
+pub struct Connections(Mutex<HashMap<(TargetName, u64), Vec<Connection>>>);
+
+fn key(target: &TargetEntry) -> (TargetName, u64) {
+    (target.name.clone(), target.started_unix_ms)
+}
+
+impl Connections {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// Fails with a verdict: not run if nothing was sent, may have run otherwise.
+    pub async fn call(
+        &self,
+        target: &TargetEntry,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), CallError> {
+        loop {
+            let kept = self.take(target);
+            let is_new = kept.is_none();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => connect(target).await?,
+            };
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    connection.idle_ms = idle_ms(response.headers());
+                    return Ok((response, connection));
+                }
+                Err(mut refused) => match refused.take_message() {
+                    // It closed before anything was sent: a new one is not as likely to.
+                    Some(unsent) if !is_new => request = unsent,
+                    Some(_) => {
+                        return Err(CallError {
+                            verdict: Verdict::NotRun,
+                            reason: Reason::LinkLost,
+                            error: refused.error().to_string(),
+                        });
+                    }
+                    None => {
+                        return Err(CallError {
+                            verdict: Verdict::MayHaveRun,
+                            reason: Reason::TargetFailed,
+                            error: refused.error().to_string(),
+                        });
+                    }
+                },
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub fn keep(&self, target: &TargetEntry, mut connection: Connection) {
+        if connection.idle_ms > 0 && !connection.sender.is_closed() {
+            connection.used = Instant::now();
+            self.idle().entry(key(target)).or_default().push(connection);
+        }
+    }
+
+    /// Closes what has been unused for too long.
+    pub fn sweep(&self) {
+        self.idle().retain(|_, connections| {
+            connections.retain(Connection::is_usable);
+            !connections.is_empty()
+        });
+    }
+
+    /// The connection that was used last.
+    fn take(&self, target: &TargetEntry) -> Option<Connection> {
+        let mut idle = self.idle();
+        let connections = idle.get_mut(&key(target))?;
+        while let Some(connection) = connections.pop() {
+            if connection.is_usable() && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn idle(&self) -> std::sync::MutexGuard<'_, HashMap<(TargetName, u64), Vec<Connection>>> {
+        self.0.lock().expect("no holder panics")
+    }
+}
+
+impl Connection {
+    fn is_usable(&self) -> bool {
+        let unused_ms = self.used.elapsed().as_millis() as u64;
+        !self.sender.is_closed() && unused_ms < self.idle_ms
+    }
+}
+
+async fn connect(target: &TargetEntry) -> Result<Connection, CallError> {
+    let not_run = |error: String| CallError {
+        verdict: Verdict::NotRun,
+        reason: Reason::LinkLost,
+        error,
+    };
+    let connecting = TcpStream::connect(target.address);
+    let connected = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await;
+    let stream = match connected {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(not_run(format!("cannot connect: {error}"))),
+        Err(_) => {
+            return Err(not_run(format!(
+                "no connection within {CONNECT_TIMEOUT_MS} ms"
+            )));
+        }
+    };
+    watch(&stream);
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|error| not_run(error.to_string()))?;
+    let driver = tokio::spawn(async move {
+        // Its error, if any, is reported by the call that it breaks.
+        let _ = connection.await;
+    });
+    Ok(Connection {
+        sender,
+        driver,
+        idle_ms: IDLE_MS,
+        used: Instant::now(),
+    })
+}
+
+/// Has the system notice when the other end is gone without a word.
+pub fn watch(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(Duration::from_millis(PROBE_MS))
+        .with_interval(Duration::from_millis(PROBE_MS));
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&probes))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MS))));
+    if let Err(error) = set {
+        tracing::debug!(%error, "gateway: socket options not set");
+    }
+}
+
+/// How long a target keeps an unused connection, by what it says.
+fn idle_ms(headers: &HeaderMap) -> u64 {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = text(header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    let stated_s = text(header::HeaderName::from_static("keep-alive")).and_then(|value| {
+        let timeout = value
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
+        timeout.and_then(|seconds| seconds.parse::<u64>().ok())
+    });
+    match stated_s {
+        _ if closes => 0,
+        Some(seconds) => (seconds * 1000).saturating_sub(IDLE_MARGIN_MS),
+        None => IDLE_MS,
+    }
+}
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,72 @@
+//! Splits an event stream into whole events, so that a stream that breaks can go on
+//! elsewhere without a piece twice or a piece lost.
+
+use bytes::{Bytes, BytesMut};
+
+/// The whole events of a stream so far, and what has arrived of the next one.
+#[derive(Debug, Default)]
+pub struct Events {
+    partial: BytesMut,
+    last_id: Option<u64>,
+    count: u64,
+}
+
+impl Events {
+    /// Events after one that the caller already has.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            ..Self::default()
+        }
+    }
+
+    /// Takes bytes; returns the events that are whole now, as they came.
+    pub fn take(&mut self, bytes: &[u8]) -> Bytes {
+        let searched = self.partial.len().saturating_sub(3);
+        self.partial.extend_from_slice(bytes);
+        let Some(end) = end_of_last_event(&self.partial, searched) else {
+            return Bytes::new();
+        };
+        let whole = self.partial.split_to(end).freeze();
+        for line in whole.split(|byte| *byte == b'\n') {
+            let id = line.strip_prefix(b"id:").and_then(parse);
+            self.count += u64::from(id.is_some());
+            self.last_id = id.or(self.last_id);
+        }
+        whole
+    }
+
+    /// Whether the stream stopped inside an event.
+    pub fn is_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    /// Drops what has arrived of an event that will not become whole.
+    pub fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    /// The id of the last whole event.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// How many whole events with an id came.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+}
+
+/// Where the last whole event ends; events end with an empty line.
+fn end_of_last_event(bytes: &[u8], from: usize) -> Option<usize> {
+    let ends_at = |at: usize| match &bytes[at..] {
+        [b'\n', b'\n', ..] => Some(at + 2),
+        [b'\n', b'\r', b'\n', ..] => Some(at + 3),
+        _ => None,
+    };
+    (from..bytes.len()).rev().find_map(ends_at)
+}
+
+fn parse(digits: &[u8]) -> Option<u64> {
+    std::str::from_utf8(digits).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/src/gateway/inbound.rs
@@ -0,0 +1,230 @@
+//! A caller's request, routed, authenticated and read.
+
+use super::{
+    dialect::{Asked, TrafficDialect},
+    placement::Prefix,
+};
+use crate::{
+    clock,
+    control_view::View,
+    document::{CustomerPolicy, RoutePolicy},
+    entry::refusal::Refusal,
+    units::*,
+    verdict::Reason,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{HeaderMap, Method, Request, Uri, body::Incoming, header};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::timeout;
+
+/// The advice when to come back to a gateway that knows no document yet, or not for sure.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// A request, ready to be sent.
+pub struct Inbound {
+    /// The caller's id of it, or one that was drawn.
+    pub id: String,
+    /// What the caller says of it.
+    pub asked: Asked,
+    /// Its route.
+    pub route: Arc<RoutePolicy>,
+    /// Whose it is; nobody's on a public route.
+    pub customer: Option<CustomerPolicy>,
+    /// Where it goes.
+    pub service: ServiceName,
+    /// Its tier.
+    pub rank: TierRank,
+    /// The HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// When its head had arrived.
+    pub arrived_ms: u64,
+    /// When a final answer is due: the caller leaves, or the route's timeout has passed.
+    pub due_ms: u64,
+    /// The document that routed it.
+    pub version: DocumentVersion,
+}
+
+impl Inbound {
+    /// Routes a request, finds its customer, and reads it to its end.
+    ///
+    /// # Errors
+    /// Fails with a refusal, not run.
+    pub async fn read<D: TrafficDialect>(
+        request: Request<Incoming>,
+        view: &View,
+        dialect: D,
+    ) -> Result<Self, (String, Refusal)> {
+        let arrived_ms = clock::boot_ms();
+        let (parts, body) = request.into_parts();
+        let asked = dialect.asked(&parts.headers);
+        let id = asked
+            .id
+            .clone()
+            .unwrap_or_else(|| RequestId::random().to_string());
+        let refused = |refusal: Refusal| (id.clone(), refusal);
+        if view.policy.version == DocumentVersion(0) {
+            let refusal = Refusal::not_run(Reason::CutOff, "no document is known here yet");
+            return Err(refused(refusal.retry_after(RETRY_AFTER_MS)));
+        }
+        let host = parts
+            .headers
+            .get(header::HOST)
+            .and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+        let path = parts.uri.path();
+        let route = view.policy.route(host, path).ok_or_else(|| {
+            let message = format!("no route for {host}{path}");
+            refused(unless_outdated(
+                view,
+                Refusal::not_run(Reason::UnknownService, message),
+            ))
+        })?;
+        let customer = customer(&asked, route, view).map_err(refused)?;
+        let due_ms = asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let limit_bytes = view.policy.caller_limits.body_bytes as usize;
+        let reading = Limited::new(body, limit_bytes).collect();
+        let body = match timeout(Duration::from_millis(due_ms), reading).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                let message = format!("the body is longer than {limit_bytes} bytes");
+                return Err(refused(Refusal::not_run(Reason::TooLarge, message)));
+            }
+            Ok(Err(_)) => {
+                let message = "the body did not come whole";
+                return Err(refused(Refusal::not_run(Reason::BadRequest, message)));
+            }
+            Err(_) => {
+                let message = "the body did not come whole in time";
+                let refusal = Refusal::not_run(Reason::Expired, message);
+                return Err(refused(refusal.retry_after(RETRY_AFTER_MS)));
+            }
+        };
+        Ok(Self {
+            service: draw_service(route, &id),
+            rank: view.policy.rank(customer.as_ref(), route),
+            route: Arc::clone(route),
+            customer,
+            id,
+            asked,
+            method: parts.method,
+            uri: parts.uri,
+            headers: end_to_end(parts.headers),
+            body,
+            arrived_ms,
+            due_ms: arrived_ms + due_ms,
+            version: view.policy.version,
+        })
+    }
+
+    /// How much time is left, in milliseconds.
+    pub fn left_ms(&self) -> u64 {
+        self.due_ms.saturating_sub(clock::boot_ms())
+    }
+
+    /// The units of its customer's quota that it counts as.
+    pub fn quota_units(&self) -> u64 {
+        let quota = self.customer.as_ref().and_then(|customer| customer.quota);
+        let stated = self.asked.prompt_tokens.zip(self.asked.answer_tokens);
+        match quota {
+            Some(quota) if quota.counts_tokens => {
+                stated.map_or(quota.plain_tokens, |(prompt, answer)| prompt + answer)
+            }
+            _ => 1,
+        }
+    }
+
+    /// The part of the prompt that other requests share.
+    pub fn prefix(&self) -> Prefix {
+        let parts = &self.asked.parts;
+        let all: u64 = parts.iter().map(|part| part.tokens).sum();
+        match parts.as_slice() {
+            _ if !self.route.shares_prefixes || all == 0 => Prefix::default(),
+            [.., shared, own] => Prefix {
+                id: Some(shared.id),
+                percent: 100 - own.tokens * 100 / all,
+            },
+            _ => Prefix::default(),
+        }
+    }
+}
+
+/// The customer of a request.
+fn customer(
+    asked: &Asked,
+    route: &RoutePolicy,
+    view: &View,
+) -> Result<Option<CustomerPolicy>, Refusal> {
+    if route.public || !view.policy.has_customers() {
+        return Ok(None);
+    }
+    let key = asked.api_key.as_deref();
+    match key.and_then(|key| view.policy.customer(key)) {
+        Some(customer) => Ok(Some(customer.clone())),
+        None => {
+            let message = "no customer has this API key";
+            let refusal = Refusal::not_run(Reason::UnknownCustomer, message);
+            Err(unless_outdated(view, refusal))
+        }
+    }
+}
+
+/// A refusal that only a current document justifies: an outdated one may lack what the
+/// caller asks for.
+fn unless_outdated(view: &View, refusal: Refusal) -> Refusal {
+    match view.holds() {
+        true => refusal,
+        false => {
+            let message = "the document known here may be out of date";
+            Refusal::not_run(Reason::CutOff, message).retry_after(RETRY_AFTER_MS)
+        }
+    }
+}
+
+/// Draws one of the route's services by weight; the same for the same request id.
+fn draw_service(route: &RoutePolicy, id: &str) -> ServiceName {
+    let all: u64 = route.targets.iter().map(|(_, weight)| weight).sum();
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    let mut drawn = hasher.finish() % all.max(1);
+    for (service, weight) in &route.targets {
+        match drawn.checked_sub(*weight) {
+            Some(rest) => drawn = rest,
+            None => return service.clone(),
+        }
+    }
+    route.targets[0].0.clone()
+}
+
+/// Drops the headers that concern one connection.
+pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(&name);
+    }
+    let hops: Vec<header::HeaderName> = headers
+        .keys()
+        .filter(|name| crate::agent::is_hop_by_hop(name.as_str()))
+        .cloned()
+        .collect();
+    for name in hops {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,23 @@
+//! The gateway: routes requests by host and path, and sends them to targets itself.
+//!
+//! The modules `placement`, `waiting_line`, `quotas`, `repeats` and `events` decide;
+//! they read no clock and open no connection.
+
+mod answer;
+mod attempts;
+mod body;
+mod connections;
+pub mod dialect;
+pub mod events;
+mod inbound;
+pub mod placement;
+pub mod quotas;
+pub mod repeats;
+mod server;
+mod targets;
+pub mod waiting_line;
+
+pub use self::{
+    dialect::{Answered, Asked, Forwarded, PromptPart, TrafficDialect},
+    server::{Gateway, GatewayStartError},
+};
--- /dev/null
+++ b/src/gateway/placement.rs
@@ -0,0 +1,95 @@
+//! Which target of a service gets a request: a pure decision.
+//!
+//! | input | use |
+//! |---|---|
+//! | own requests in progress there | the wait that this gateway adds itself |
+//! | the time to the first event of late | the wait that others cause, and the target's pace |
+//! | the target's slots | how much fits at one time |
+//! | whether the prompt's prefix belongs there | computing it again costs time |
+//! | failures of late | a target that fails is left alone for a while |
+//!
+//! The output is the target with the least expected time to the first event.
+
+use crate::{derives::record, units::*};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// The time to the first event of a target that is not known yet: short, so that new
+/// targets are tried.
+const UNKNOWN_FIRST_MS: u64 = 50;
+/// How much of the expected time a prompt's cached prefix saves at most, in percent.
+const PREFIX_PERCENT: u64 = 40;
+/// What crossing failure domains costs, as an expected time: about a round trip.
+const CROSSING_MICROS: u64 = 2000;
+
+record! {
+    /// A target as this decision sees it.
+    pub struct Candidate {
+        /// Its name.
+        pub name: TargetName,
+        /// Requests of this gateway in progress there.
+        pub in_progress: u64,
+        /// How many requests it runs at one time.
+        pub slots: u64,
+        /// How long first events of late took; `None` if not known.
+        pub first_ms: Option<u64>,
+        /// Whether it is in the gateway's failure domain.
+        pub is_near: bool,
+        /// Whether it is still slow after its start.
+        pub warming_up: bool,
+    }
+
+    /// The prompt as this decision sees it.
+    #[derive(Copy, Default)]
+    pub struct Prefix {
+        /// Identifies the longest part that other requests share.
+        pub id: Option<u64>,
+        /// How much of the prompt that is, in percent.
+        pub percent: u64,
+    }
+}
+
+/// The position of the target to take; `None` if there is no candidate. `seed` breaks ties,
+/// so that gateways that know the same do not all choose the same.
+pub fn choose(candidates: &[Candidate], prefix: Prefix, seed: u64) -> Option<usize> {
+    let holder = prefix.id.and_then(|id| {
+        let by_hash = |candidate: &&Candidate| hash((id, &candidate.name));
+        let holder = candidates.iter().max_by_key(by_hash)?;
+        Some(holder.name.clone())
+    });
+    let cost = |(position, candidate): &(usize, &Candidate)| {
+        let holds = holder.as_ref() == Some(&candidate.name);
+        let saved = if holds {
+            prefix.percent * PREFIX_PERCENT / 100
+        } else {
+            0
+        };
+        (
+            expected_micros(candidate) * (100 - saved) / 100,
+            hash((seed, position)),
+        )
+    };
+    let best = candidates.iter().enumerate().min_by_key(cost);
+    best.map(|(position, _)| position)
+}
+
+/// How long the first event is expected to take.
+fn expected_micros(candidate: &Candidate) -> u64 {
+    let first_ms = candidate.first_ms.unwrap_or(UNKNOWN_FIRST_MS).max(1);
+    let slots = candidate.slots.max(1);
+    // Each own request in progress adds its part of a slot; beyond the slots, all wait.
+    let over = candidate.in_progress.saturating_sub(slots);
+    let load_percent = 100 + 100 * candidate.in_progress / slots + 200 * over / slots;
+    let warm_percent = if candidate.warming_up { 200 } else { 100 };
+    let crossing_micros = if candidate.is_near {
+        0
+    } else {
+        CROSSING_MICROS
+    };
+    first_ms * 1000 * load_percent / 100 * warm_percent / 100 + crossing_micros
+}
+
+fn hash(parts: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    parts.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/src/gateway/quotas.rs
@@ -0,0 +1,131 @@
+//! A gateway's part of each customer's quota, as a bucket that refills.
+
+use crate::{
+    control::shares::{Shares, WHOLE_PPM, share_ppm},
+    document::QuotaPolicy,
+    units::CustomerName,
+};
+use std::collections::BTreeMap;
+
+/// Gateways assumed until the leader has said how many there are.
+const ASSUMED_GATEWAYS: u64 = 8;
+/// How long demand is averaged over.
+const DEMAND_MS: u64 = 1000;
+
+#[derive(Debug, Default)]
+struct Bucket {
+    milli_units: u64,
+    filled_ms: u64,
+    asked_units: u64,
+    asked_since_ms: u64,
+    demand_per_s: u64,
+    started: bool,
+}
+
+/// The buckets of one gateway.
+#[derive(Debug, Default)]
+pub struct Quotas {
+    buckets: BTreeMap<CustomerName, Bucket>,
+    shares: Option<Shares>,
+    slack_units: u64,
+}
+
+impl Quotas {
+    /// Empty buckets. `slack_units` is how far all gateways together may go beyond a
+    /// quota for a moment, so that a part of a small quota still takes whole requests.
+    pub fn new(slack_units: u64) -> Self {
+        Self {
+            slack_units,
+            ..Self::default()
+        }
+    }
+
+    /// Takes the parts that the leader gave.
+    pub fn set_shares(&mut self, shares: Shares) {
+        self.shares = Some(shares);
+    }
+
+    /// How many gateways there are, as far as is known.
+    pub fn gateways(&self) -> u64 {
+        let told = self.shares.as_ref().map(|shares| shares.gateways);
+        told.filter(|gateways| *gateways > 0)
+            .unwrap_or(ASSUMED_GATEWAYS)
+    }
+
+    /// Takes units of a quota, or tells in how many milliseconds there will be enough.
+    pub fn take(
+        &mut self,
+        customer: &CustomerName,
+        quota: QuotaPolicy,
+        units: u64,
+        now_ms: u64,
+    ) -> Result<(), u64> {
+        let ppm = self.share_of(customer);
+        let slack = self.slack_units / self.gateways();
+        let bucket = self.buckets.entry(customer.clone()).or_default();
+        bucket.count_demand(units, now_ms);
+        let rate_per_s = (quota.rate_per_s * ppm / WHOLE_PPM).max(1);
+        // At least one request fits, however small the part.
+        let most_milli = (quota.burst * ppm / WHOLE_PPM + slack).max(units) * 1000;
+        bucket.fill(rate_per_s, most_milli, now_ms);
+        match bucket.milli_units.checked_sub(units * 1000) {
+            Some(left) => {
+                bucket.milli_units = left;
+                Ok(())
+            }
+            None => Err((units * 1000 - bucket.milli_units) / rate_per_s),
+        }
+    }
+
+    /// Gives back units of a request that did not run.
+    pub fn give_back(&mut self, customer: &CustomerName, units: u64) {
+        if let Some(bucket) = self.buckets.get_mut(customer) {
+            bucket.milli_units += units * 1000;
+        }
+    }
+
+    /// Units of each customer that were asked for, a second.
+    pub fn demand(&mut self, now_ms: u64) -> BTreeMap<CustomerName, u64> {
+        let buckets = self.buckets.iter_mut();
+        let demands = buckets.map(|(customer, bucket)| {
+            bucket.count_demand(0, now_ms);
+            (customer.clone(), bucket.demand_per_s)
+        });
+        demands.collect()
+    }
+
+    fn share_of(&self, customer: &CustomerName) -> u64 {
+        let told = self
+            .shares
+            .as_ref()
+            .and_then(|shares| shares.customers.get(customer));
+        told.copied()
+            .unwrap_or_else(|| share_ppm(0, 0, self.gateways()))
+    }
+}
+
+impl Bucket {
+    fn fill(&mut self, rate_per_s: u64, most_milli: u64, now_ms: u64) {
+        let filled_milli = (now_ms - self.filled_ms.min(now_ms)).saturating_mul(rate_per_s);
+        self.milli_units = match self.started {
+            true => self
+                .milli_units
+                .saturating_add(filled_milli)
+                .min(most_milli),
+            false => most_milli,
+        };
+        self.started = true;
+        self.filled_ms = now_ms;
+    }
+
+    fn count_demand(&mut self, units: u64, now_ms: u64) {
+        self.asked_units += units;
+        let elapsed_ms = now_ms.saturating_sub(self.asked_since_ms);
+        if elapsed_ms >= DEMAND_MS {
+            let per_s = self.asked_units * 1000 / elapsed_ms;
+            self.demand_per_s = (self.demand_per_s + per_s) / 2;
+            self.asked_units = 0;
+            self.asked_since_ms = now_ms;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,284 @@
+//! A running gateway.
+
+use super::{
+    answer,
+    attempts::{Answer, Attempts},
+    connections::{self, Connections},
+    dialect::TrafficDialect,
+    inbound::Inbound,
+    quotas::Quotas,
+    repeats::Repeats,
+    targets::Targets,
+};
+use crate::{
+    accept, clock,
+    control::{
+        ControlClient,
+        members::{Member, ProcessRole},
+        shares::Demand,
+    },
+    control_view::ControlView,
+    http_server::HttpServer,
+    settings::GatewaySettings,
+    units::*,
+};
+use bytes::Bytes;
+use http_body_util::{Either, Full, StreamBody};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body, Incoming},
+    header::{self, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use std::{
+    convert::Infallible,
+    error::Error,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::TcpListener,
+    sync::{oneshot, watch},
+    task::JoinHandle,
+};
+
+/// How often demand is reported, parts are taken, and unused connections are closed.
+const UPKEEP_MS: u64 = 250;
+/// The smallest read buffer that the HTTP library takes.
+const LEAST_BUFFER_BYTES: usize = 8192;
+
+/// Why a gateway cannot start.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("cannot listen at {address}: {error}")]
+pub struct GatewayStartError {
+    /// The address.
+    pub address: SocketAddr,
+    /// What the operating system says.
+    pub error: io::Error,
+}
+
+struct Shared<D> {
+    view: Arc<ControlView>,
+    attempts: Arc<Attempts<D>>,
+    stopping: AtomicBool,
+    dialect: D,
+}
+
+/// A running gateway.
+pub struct Gateway<D> {
+    shared: Arc<Shared<D>>,
+    name: ProcessName,
+    address: SocketAddr,
+    readiness: HttpServer,
+    stop: oneshot::Sender<()>,
+    serving: JoinHandle<()>,
+    balancer_delay: Duration,
+}
+
+impl<D: TrafficDialect> Gateway<D> {
+    /// Binds the addresses and starts.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be bound.
+    pub async fn bind(settings: &GatewaySettings, dialect: D) -> Result<Self, GatewayStartError> {
+        let failed = |address: SocketAddr| move |error| GatewayStartError { address, error };
+        let listener = TcpListener::bind(settings.listen).await;
+        let listener = listener.map_err(failed(settings.listen))?;
+        let address = listener.local_addr().map_err(failed(settings.listen))?;
+        let member = Member {
+            name: settings.name.clone(),
+            role: ProcessRole::Gateway,
+            failure_domain: settings.failure_domain.clone(),
+            incarnation: Incarnation::random(),
+            address: address.to_string(),
+            target: None,
+        };
+        let client = Arc::new(ControlClient::new(settings.control_addresses()));
+        let view = Arc::new(ControlView::spawn(client, member));
+        let targets = Targets::new(Arc::clone(&view), settings.failure_domain.clone());
+        let attempts = Arc::new(Attempts {
+            dialect,
+            targets,
+            connections: Connections::default(),
+            repeats: Repeats::new(settings.repeats).into(),
+            quotas: Quotas::new(settings.quota_slack_units).into(),
+        });
+        let shared = Arc::new(Shared {
+            view,
+            attempts,
+            stopping: AtomicBool::new(false),
+            dialect,
+        });
+        let asked = Arc::clone(&shared);
+        let readiness = HttpServer::bind(settings.readiness, "gateway", move |_| {
+            let response = asked.readiness();
+            async move { response }
+        });
+        let readiness = readiness.await.map_err(failed(settings.readiness))?;
+        let (stop, stopped) = oneshot::channel();
+        let serving = tokio::spawn(serve(listener, Arc::clone(&shared), stopped));
+        tokio::spawn(keep_up(Arc::clone(&shared)));
+        tracing::info!(name = %settings.name, %address, "gateway: starts");
+        Ok(Self {
+            shared,
+            name: settings.name.clone(),
+            address,
+            readiness,
+            stop,
+            serving,
+            balancer_delay: Duration::from_millis(settings.balancer_delay_ms),
+        })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where the balancer asks.
+    pub fn readiness_address(&self) -> SocketAddr {
+        self.readiness.address()
+    }
+
+    /// Turns unready, serves on for the balancer, then finishes every request.
+    pub async fn shutdown(self) {
+        tracing::info!(name = %self.name, "gateway: stops");
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        tokio::time::sleep(self.balancer_delay).await;
+        let _ = self.stop.send(());
+        if self.serving.await.is_err() {
+            tracing::error!("gateway: the server ended early");
+        }
+        self.shared.view.goodbye().await;
+        tracing::info!(name = %self.name, "gateway: stopped");
+    }
+}
+
+/// Reports demand, takes the leader's parts, closes unused connections.
+async fn keep_up<D: TrafficDialect>(shared: Arc<Shared<D>>) {
+    let mut interval = tokio::time::interval(Duration::from_millis(UPKEEP_MS));
+    loop {
+        interval.tick().await;
+        let attempts = &shared.attempts;
+        let shares = shared.view.load().shares.clone();
+        let customers = {
+            let mut quotas = attempts.quotas.lock().expect("no holder panics");
+            if let Some(shares) = &shares {
+                quotas.set_shares(shares.as_ref().clone());
+            }
+            quotas.demand(clock::boot_ms())
+        };
+        if let Some(shares) = shares {
+            attempts.targets.set_shares(shares.as_ref().clone());
+        }
+        let services = attempts.targets.demand();
+        shared.view.report_demand(Demand {
+            customers,
+            services,
+        });
+        attempts.connections.sweep();
+        attempts.targets.sweep();
+    }
+}
+
+async fn serve<D: TrafficDialect>(
+    listener: TcpListener,
+    shared: Arc<Shared<D>>,
+    mut stopped: oneshot::Receiver<()>,
+) {
+    let graceful = GracefulShutdown::new();
+    let (closing, _) = watch::channel(());
+    loop {
+        let stream = tokio::select! {
+            stream = accept::accept(&listener, "gateway") => stream,
+            _ = &mut stopped => break,
+        };
+        connections::watch(&stream);
+        let limits = shared.view.load().policy.caller_limits;
+        let answering = Arc::clone(&shared);
+        let service = service_fn(move |request| {
+            let shared = Arc::clone(&answering);
+            async move { Ok::<_, Infallible>(shared.answer(request).await) }
+        });
+        // The library counts the time between requests as time for the next head.
+        let head_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(head_ms))
+            .max_buf_size((limits.header_bytes as usize).max(LEAST_BUFFER_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
+        let served = graceful.watch(connection);
+        let held = closing.subscribe();
+        tokio::spawn(async move {
+            // An error here is the caller's: it left, or sent what is no request.
+            if let Err(error) = served.await {
+                tracing::debug!(%error, "gateway: connection ended");
+            }
+            drop(held);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    closing.closed().await;
+}
+
+impl<D: TrafficDialect> Shared<D> {
+    fn readiness(&self) -> Response<Full<Bytes>> {
+        let has_document = self.view.load().policy.version > DocumentVersion(0);
+        let stopping = self.stopping.load(Ordering::Relaxed);
+        let (status, text) = match (stopping, has_document) {
+            (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+            (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no document known\n"),
+            (false, true) => (StatusCode::OK, "ready\n"),
+        };
+        let mut response = Response::new(Full::from(text));
+        *response.status_mut() = status;
+        response
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Response<impl Body<Data = Bytes, Error = Box<dyn Error + Send + Sync>> + use<D>> {
+        let view = self.view.load();
+        let read = Inbound::read(request, &view, self.dialect).await;
+        drop(view);
+        let (id, answered) = match read {
+            Ok(inbound) => {
+                let inbound = Arc::new(inbound);
+                let id = inbound.id.clone();
+                (id, Box::pin(self.attempts.serve(inbound)).await)
+            }
+            Err((id, refusal)) => (id, Err(refusal)),
+        };
+        let mut response = match answered {
+            Ok(Answer::Whole(response)) => response.map(Either::Left),
+            Ok(Answer::Streams(head, relay)) => {
+                head.map(|()| Either::Right(StreamBody::new(relay.into_stream())))
+            }
+            Err(refusal) => {
+                tracing::info!(
+                    request = id, reason = %refusal.reason, verdict = %refusal.verdict,
+                    retry_after_ms = refusal.retry_after_ms, why = refusal.message,
+                    "gateway: refused"
+                );
+                answer::refuse(&refusal).map(Either::Left)
+            }
+        };
+        if self.stopping.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/src/gateway/targets.rs
@@ -0,0 +1,393 @@
+//! The targets as this gateway sees them, and the requests that wait for a place there.
+
+use super::{
+    placement::{self, Candidate, Prefix},
+    waiting_line::{Ticket, Waiting, WaitingLine},
+};
+use crate::{
+    clock,
+    control::{
+        directory::TargetEntry,
+        shares::{Shares, WHOLE_PPM},
+    },
+    control_view::ControlView,
+    entry::refusal::Refusal,
+    units::*,
+    verdict::Reason,
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{sync::oneshot, time::timeout};
+
+/// While all gateways together want less than this part of the places, none is held to
+/// its own part.
+const FREE_PERCENT: u64 = 70;
+/// How far beyond its part a gateway goes, as targets keep a short queue of their own.
+const BEYOND_PERCENT: u64 = 130;
+/// How long a target is left alone that could not be reached, at first; twice as long
+/// each time, up to the most.
+const REST_MS: u64 = 500;
+const MOST_REST_MS: u64 = 4000;
+/// How long a target is left alone that said that it is full.
+const FULL_REST_MS: u64 = 100;
+/// How long a measured time to the first event is believed.
+const MEASURED_MS: u64 = 5000;
+/// The time that a request takes, assumed before any was measured.
+const ASSUMED_RUN_MS: u64 = 300;
+/// The bounds of the advice when to come back.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=5000;
+
+/// What a request wants of a place.
+pub struct Want<'a> {
+    /// The request, for logs.
+    pub request: &'a str,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// When and how urgent.
+    pub waiting: Waiting,
+    /// Its prompt.
+    pub prefix: Prefix,
+    /// Targets that have been tried.
+    pub tried: &'a [TargetName],
+}
+
+/// A place at a target; given back when it is dropped.
+pub struct Place {
+    targets: Arc<Targets>,
+    service: ServiceName,
+    /// The target.
+    pub target: TargetEntry,
+    began_ms: u64,
+}
+
+#[derive(Default)]
+struct Known {
+    in_progress: u64,
+    first_ms: Option<u64>,
+    measured_at_ms: u64,
+    rests_until_ms: u64,
+    rest_ms: u64,
+    failures: u64,
+}
+
+#[derive(Default)]
+struct Line {
+    waiting: WaitingLine,
+    wakers: HashMap<Ticket, oneshot::Sender<()>>,
+    in_progress: u64,
+    run_ms: Option<u64>,
+}
+
+#[derive(Default)]
+struct State {
+    known: HashMap<TargetName, Known>,
+    lines: BTreeMap<ServiceName, Line>,
+    shares: Shares,
+}
+
+/// See the module.
+pub struct Targets {
+    view: Arc<ControlView>,
+    failure_domain: FailureDomain,
+    state: Mutex<State>,
+}
+
+/// Takes a request out of the line if its caller leaves.
+struct Waits<'a> {
+    targets: &'a Targets,
+    service: &'a ServiceName,
+    ticket: Ticket,
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        let mut state = self.targets.state();
+        let line = state.lines.entry(self.service.clone()).or_default();
+        line.waiting.leave(self.ticket);
+        line.wakers.remove(&self.ticket);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.targets.state();
+        if let Some(known) = state.known.get_mut(&self.target.name) {
+            known.in_progress = known.in_progress.saturating_sub(1);
+        }
+        let line = state.lines.entry(self.service.clone()).or_default();
+        line.in_progress = line.in_progress.saturating_sub(1);
+        let ran_ms = clock::boot_ms().saturating_sub(self.began_ms);
+        line.run_ms = Some(
+            line.run_ms
+                .map_or(ran_ms, |run_ms| (run_ms * 7 + ran_ms) / 8),
+        );
+        self.targets.wake(&mut state, &self.service);
+    }
+}
+
+impl Targets {
+    /// No target is known yet beyond the view.
+    pub fn new(view: Arc<ControlView>, failure_domain: FailureDomain) -> Arc<Self> {
+        Arc::new(Self {
+            view,
+            failure_domain,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Finds a place; waits for one in the line of the service if need be.
+    ///
+    /// # Errors
+    /// Fails with a refusal, not run, if there is none in time.
+    pub async fn place(self: &Arc<Self>, want: &Want<'_>) -> Result<Place, Refusal> {
+        let now_ms = clock::boot_ms();
+        let waits = {
+            let mut state = self.state();
+            let line_is_empty = state
+                .lines
+                .entry(want.service.clone())
+                .or_default()
+                .waiting
+                .is_empty();
+            if line_is_empty && self.has_room(&state, want.service) {
+                return self.choose(&mut state, want, now_ms);
+            }
+            self.join(&mut state, want, now_ms)?
+        };
+        let (ticket, woken) = waits;
+        let guard = Waits {
+            targets: self,
+            service: want.service,
+            ticket,
+        };
+        let left_ms = want.waiting.deadline_at_ms.saturating_sub(now_ms);
+        let turn = timeout(Duration::from_millis(left_ms), woken).await;
+        drop(guard);
+        let now_ms = clock::boot_ms();
+        match turn {
+            Ok(Ok(())) => self.choose(&mut self.state(), want, now_ms),
+            Ok(Err(_)) => Err(self.shed(want, "a more urgent request took its place")),
+            Err(_) => Err(self.shed(want, "no place became free in time")),
+        }
+    }
+
+    /// Takes the leader's parts, and lets more go if there is room.
+    pub fn set_shares(&self, shares: Shares) {
+        let mut state = self.state();
+        state.shares = shares;
+        let services: Vec<ServiceName> = state.lines.keys().cloned().collect();
+        for service in services {
+            self.wake(&mut state, &service);
+        }
+    }
+
+    /// Requests in progress or waiting, by service.
+    pub fn demand(&self) -> BTreeMap<ServiceName, u64> {
+        let state = self.state();
+        let lines = state.lines.iter();
+        let demand = lines.map(|(service, line)| {
+            let waiting = line.waiting.len() as u64;
+            (service.clone(), line.in_progress + waiting)
+        });
+        demand.collect()
+    }
+
+    /// Drops what is known of targets that are gone.
+    pub fn sweep(&self) {
+        let view = self.view.load();
+        self.state()
+            .known
+            .retain(|name, known| known.in_progress > 0 || view.targets.contains_key(name));
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Whether this gateway's part of the service's places has room for one more.
+    fn has_room(&self, state: &State, service: &ServiceName) -> bool {
+        let view = self.view.load();
+        let ready = view
+            .targets
+            .values()
+            .filter(|t| t.service == *service && !t.leaving);
+        let slots: u64 = ready.map(|target| u64::from(target.slots)).sum();
+        let in_progress = state.lines.get(service).map_or(0, |line| line.in_progress);
+        let most = match state.shares.services.get(service) {
+            Some(share) if share.wanted_by_all * 100 > slots * FREE_PERCENT => {
+                (slots * share.ppm / WHOLE_PPM * BEYOND_PERCENT / 100).max(2)
+            }
+            _ => slots,
+        };
+        in_progress < most
+    }
+
+    fn choose(
+        self: &Arc<Self>,
+        state: &mut State,
+        want: &Want,
+        now_ms: u64,
+    ) -> Result<Place, Refusal> {
+        let view = self.view.load();
+        let serves = |target: &&TargetEntry| target.service == *want.service && !target.leaving;
+        let all: Vec<&TargetEntry> = view.targets.values().filter(serves).collect();
+        let untried = |target: &&&TargetEntry| !want.tried.contains(&target.name);
+        let rested = |target: &&&TargetEntry| {
+            let known = state.known.get(&target.name);
+            known.is_none_or(|known| known.rests_until_ms <= now_ms)
+        };
+        let mut usable: Vec<&TargetEntry> =
+            all.iter().filter(untried).filter(rested).copied().collect();
+        if usable.is_empty() {
+            usable = all.iter().filter(untried).copied().collect();
+        }
+        let candidates: Vec<Candidate> = usable
+            .iter()
+            .map(|target| self.candidate(state, target, now_ms))
+            .collect();
+        let seed = now_ms
+            ^ state
+                .lines
+                .get(want.service)
+                .map_or(0, |line| line.in_progress << 20);
+        let Some(position) = placement::choose(&candidates, want.prefix, seed) else {
+            let message = format!("no target of {} takes work", want.service);
+            let refusal = Refusal::not_run(Reason::NoTarget, message);
+            return Err(refusal.retry_after(*RETRY_AFTER_MS.start() * 5));
+        };
+        let target = usable[position].clone();
+        let known = state.known.entry(target.name.clone()).or_default();
+        known.in_progress += 1;
+        let line = state.lines.entry(want.service.clone()).or_default();
+        line.in_progress += 1;
+        tracing::debug!(
+            request = want.request, target = %target.name, in_progress = known.in_progress,
+            first_ms = ?known.first_ms, waited_ms = now_ms - want.waiting.arrived_ms,
+            "gateway: placed"
+        );
+        Ok(Place {
+            targets: Arc::clone(self),
+            service: want.service.clone(),
+            target,
+            began_ms: now_ms,
+        })
+    }
+
+    fn candidate(&self, state: &State, target: &TargetEntry, now_ms: u64) -> Candidate {
+        let known = state.known.get(&target.name);
+        let measured = known.filter(|known| now_ms < known.measured_at_ms + MEASURED_MS);
+        Candidate {
+            name: target.name.clone(),
+            in_progress: known.map_or(0, |known| known.in_progress),
+            slots: u64::from(target.slots),
+            first_ms: measured.and_then(|known| known.first_ms),
+            is_near: target.failure_domain == self.failure_domain,
+            warming_up: target.warming_up,
+        }
+    }
+
+    /// Joins the line, unless the wait would be longer than there is time.
+    fn join(
+        &self,
+        state: &mut State,
+        want: &Want,
+        now_ms: u64,
+    ) -> Result<(Ticket, oneshot::Receiver<()>), Refusal> {
+        let line = state.lines.entry(want.service.clone()).or_default();
+        let wait_ms = line.expected_wait_ms(want.waiting.rank);
+        let left_ms = want.waiting.deadline_at_ms.saturating_sub(now_ms);
+        if wait_ms + want.waiting.work_ms > left_ms {
+            let message = format!("a wait of {wait_ms} ms is expected and {left_ms} ms are left");
+            let refusal = Refusal::not_run(Reason::Shed, message);
+            return Err(
+                refusal.retry_after(wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end()))
+            );
+        }
+        let ticket = line.waiting.join(want.waiting);
+        let (waker, woken) = oneshot::channel();
+        line.wakers.insert(ticket, waker);
+        Ok((ticket, woken))
+    }
+
+    fn shed(&self, want: &Want, message: &str) -> Refusal {
+        let mut state = self.state();
+        let line = state.lines.entry(want.service.clone()).or_default();
+        let wait_ms = line.expected_wait_ms(want.waiting.rank);
+        let refusal = Refusal::not_run(Reason::Shed, message);
+        refusal.retry_after(wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end()))
+    }
+
+    /// Lets requests go while there is room.
+    fn wake(&self, state: &mut State, service: &ServiceName) {
+        let now_ms = clock::boot_ms();
+        // A request that goes counts only once it has run on; the others wait for it.
+        let mut woken = 0;
+        while self.has_room_beside(state, service, woken) {
+            let Some(line) = state.lines.get_mut(service) else {
+                return;
+            };
+            let Some(ticket) = line.waiting.next(now_ms) else {
+                return;
+            };
+            if let Some(waker) = line.wakers.remove(&ticket) {
+                woken += u64::from(waker.send(()).is_ok());
+            }
+        }
+    }
+
+    fn has_room_beside(&self, state: &mut State, service: &ServiceName, woken: u64) -> bool {
+        let Some(line) = state.lines.get_mut(service) else {
+            return false;
+        };
+        line.in_progress += woken;
+        let room = self.has_room(state, service);
+        if let Some(line) = state.lines.get_mut(service) {
+            line.in_progress -= woken;
+        }
+        room
+    }
+}
+
+impl Line {
+    /// How long a new request of a rank would wait.
+    fn expected_wait_ms(&self, rank: TierRank) -> u64 {
+        let ahead = self.waiting.ahead_of(rank) as u64 + 1;
+        ahead * self.run_ms.unwrap_or(ASSUMED_RUN_MS) / self.in_progress.max(1)
+    }
+}
+
+impl Place {
+    /// Notes how long the first event or the answer took.
+    pub fn measured(&self, first_ms: u64) {
+        let mut state = self.targets.state();
+        let known = state.known.entry(self.target.name.clone()).or_default();
+        let lately = known.first_ms.unwrap_or(first_ms);
+        known.first_ms = Some((lately * 3 + first_ms) / 4);
+        known.measured_at_ms = clock::boot_ms();
+        known.rest_ms = 0;
+        known.failures = 0;
+    }
+
+    /// Leaves the target alone for a while: it could not be reached, or it failed.
+    pub fn failed(&self, error: &str) {
+        let mut state = self.targets.state();
+        let known = state.known.entry(self.target.name.clone()).or_default();
+        known.failures += 1;
+        known.rest_ms = (known.rest_ms * 2).clamp(REST_MS, MOST_REST_MS);
+        known.rests_until_ms = clock::boot_ms() + known.rest_ms;
+        tracing::warn!(
+            target = %self.target.name, rest_ms = known.rest_ms, failures = known.failures, error,
+            "gateway: target failed and rests"
+        );
+    }
+
+    /// Leaves the target alone for a moment: it said that it is full.
+    pub fn full(&self) {
+        let mut state = self.targets.state();
+        let known = state.known.entry(self.target.name.clone()).or_default();
+        known.rests_until_ms = clock::boot_ms() + FULL_REST_MS;
+    }
+}
--- /dev/null
+++ b/src/gateway/waiting_line.rs
@@ -0,0 +1,119 @@
+//! Requests that wait at a gateway for a place, in the order in which they are served.
+//!
+//! | input | use |
+//! |---|---|
+//! | rank | a lower rank goes first; a full line drops its highest rank |
+//! | when its objective passes | what can still meet it goes before what cannot |
+//! | expected work | short requests first, aged so that none starves |
+//! | when it was refused before | who comes back goes before who comes anew |
+//!
+//! Outputs: who goes next, who is dropped, and when a dropped one should come back.
+
+use crate::{derives::record, units::*};
+use std::collections::BTreeMap;
+
+/// How much earlier a request counts as come for each millisecond of waiting, against
+/// its work: a request that has waited this many times its work goes before any new one.
+const AGING: u64 = 4;
+
+record! {
+    /// A request that waits.
+    #[derive(Copy)]
+    pub struct Waiting {
+        /// Its tier; 0 is the highest.
+        pub rank: TierRank,
+        /// When it came.
+        pub arrived_ms: u64,
+        /// When its answer stops being of full value.
+        pub objective_at_ms: u64,
+        /// When its caller leaves.
+        pub deadline_at_ms: u64,
+        /// How long it would take, roughly.
+        pub work_ms: u64,
+    }
+}
+
+/// Identifies a request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// The requests of one service that wait.
+#[derive(Debug, Default)]
+pub struct WaitingLine {
+    waiting: BTreeMap<Ticket, Waiting>,
+    next: u64,
+}
+
+impl WaitingLine {
+    /// Lets a request wait.
+    pub fn join(&mut self, waiting: Waiting) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.waiting.insert(ticket, waiting);
+        ticket
+    }
+
+    /// Takes a request out, as when its caller has left.
+    pub fn leave(&mut self, ticket: Ticket) -> Option<Waiting> {
+        self.waiting.remove(&ticket)
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes out the request that is to go next.
+    pub fn next(&mut self, now_ms: u64) -> Option<Ticket> {
+        let first = self.waiting.iter().min_by_key(|(ticket, waiting)| {
+            (
+                waiting.rank,
+                waiting.is_late(now_ms),
+                waiting.urgency(now_ms),
+                **ticket,
+            )
+        });
+        let ticket = first.map(|(ticket, _)| *ticket)?;
+        self.waiting.remove(&ticket);
+        Some(ticket)
+    }
+
+    /// Takes out the request to drop first: of the lowest tier, the one that would go last.
+    pub fn drop_last(&mut self, now_ms: u64) -> Option<(Ticket, Waiting)> {
+        let last = self.waiting.iter().max_by_key(|(ticket, waiting)| {
+            (
+                waiting.rank,
+                waiting.is_late(now_ms),
+                waiting.urgency(now_ms),
+                **ticket,
+            )
+        });
+        let ticket = last.map(|(ticket, _)| *ticket)?;
+        self.waiting
+            .remove(&ticket)
+            .map(|waiting| (ticket, waiting))
+    }
+
+    /// How many wait that would go before a request of this rank.
+    pub fn ahead_of(&self, rank: TierRank) -> usize {
+        let ahead = self.waiting.values().filter(|waiting| waiting.rank <= rank);
+        ahead.count()
+    }
+}
+
+impl Waiting {
+    fn is_late(&self, now_ms: u64) -> bool {
+        now_ms > self.objective_at_ms
+    }
+
+    /// Smaller goes first: short work, less what it has waited.
+    fn urgency(&self, now_ms: u64) -> i64 {
+        let waited_ms = now_ms.saturating_sub(self.arrived_ms);
+        self.work_ms as i64 - (waited_ms * AGING) as i64
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,16 @@
 //! Settings of one process: addresses, failure domain, peers, data folder.
 
-use crate::{derives::record, entry::routing::RoutingPolicy, units::*};
+use crate::{
+    control::{
+        directory::LEASE_INTERVALS,
+        replica::Identity,
+        roster::{Discovery, InstanceAddresses},
+    },
+    derives::record,
+    entry::routing::RoutingPolicy,
+    gateway::repeats::RepeatBounds,
+    units::*,
+};
 use serde::de::DeserializeOwned;
 use std::{
     fs, io,
@@ -44,6 +54,36 @@
         pub telemetry: TelemetrySettings,
     }
 
+    /// Settings of `guavacove gateway`.
+    #[serde(deny_unknown_fields)]
+    pub struct GatewaySettings {
+        /// The process's name, unique in the system.
+        pub name: ProcessName,
+        /// The failure domain that it runs in.
+        pub failure_domain: FailureDomain,
+        /// Where callers connect.
+        pub listen: SocketAddr,
+        /// Where the balancer asks whether it takes new connections.
+        pub readiness: SocketAddr,
+        /// Addresses of some control instances; it learns of the others.
+        pub control: Vec<SocketAddr>,
+        /// The port of their RPC, if it is not the one in `control`.
+        #[serde(default)]
+        pub control_port: Option<u16>,
+        /// How long it serves on after it turns unready, for the balancer.
+        #[serde(default = "default_balancer_delay_ms")]
+        pub balancer_delay_ms: u64,
+        /// How far all gateways together may go beyond a customer's quota for a moment.
+        #[serde(default)]
+        pub quota_slack_units: u64,
+        /// The budget of repeats over all gateways.
+        #[serde(default = "default_repeats")]
+        pub repeats: RepeatBounds,
+        /// See [`TelemetrySettings`].
+        #[serde(default)]
+        pub telemetry: TelemetrySettings,
+    }
+
     /// Settings of `guavacove agent`.
     #[serde(deny_unknown_fields)]
     pub struct AgentSettings {
@@ -76,6 +116,25 @@
         pub rpc: SocketAddr,
     }
 
+    /// How control instances find each other, and targets and operators find them.
+    #[serde(deny_unknown_fields)]
+    pub struct DiscoverySettings {
+        /// Where operators and targets reach this instance.
+        pub api: SocketAddr,
+        /// Where other control instances reach it, at the same address as `api`.
+        pub peer_port: u16,
+        /// Where other processes reach it, at the same address as `api`.
+        pub rpc_port: u16,
+        /// The `api` addresses of some control instances.
+        pub seeds: Vec<SocketAddr>,
+        /// Whether the whole system starts for the first time, with empty disks.
+        #[serde(default)]
+        pub first_start: bool,
+        /// How often a target announces itself, in milliseconds.
+        #[serde(default = "default_announcement_ms")]
+        pub announcement_ms: u64,
+    }
+
     /// The operators' console of a control instance.
     #[serde(deny_unknown_fields)]
     pub struct ConsoleSettings {
@@ -89,13 +148,20 @@
     /// Settings of `guavacove control`.
     #[serde(deny_unknown_fields)]
     pub struct ControlSettings {
-        /// This instance's number among `peers`.
+        /// This instance's number among `peers`; 0 where instances find each other.
+        #[serde(default)]
         pub number: u8,
         /// The failure domain that it runs in.
         pub failure_domain: FailureDomain,
-        /// Every control instance, this one included: 1, 3, 5 or 7.
+        /// Every control instance, this one included: 1, 3, 5 or 7. Left out where
+        /// instances find each other.
+        #[serde(default)]
         pub peers: Vec<PeerSettings>,
-        /// Where the log is kept.
+        /// See [`DiscoverySettings`].
+        #[serde(default)]
+        pub discovery: Option<DiscoverySettings>,
+        /// Where the log is kept. Empty if this instance has no disk: it then refers
+        /// callers to the others, or keeps the log in memory where none has a disk.
         pub data_folder: PathBuf,
         /// See [`ConsoleSettings`]; no console if unset.
         #[serde(default)]
@@ -115,6 +181,22 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, CONSOLE_PORT))
 }
 
+/// The folder of a replica that has no disk.
+const MEMORY_FOLDER: &str = "/tmp/guavacove-control";
+
+fn default_announcement_ms() -> u64 {
+    1000
+}
+
+/// A tenth of the requests, and a few: what most services bear.
+fn default_repeats() -> RepeatBounds {
+    RepeatBounds {
+        per_mille: 100,
+        window_s: 10,
+        slack: 20,
+    }
+}
+
 fn default_balancer_delay_ms() -> u64 {
     3000
 }
@@ -193,6 +275,23 @@
     }
 }
 
+impl GatewaySettings {
+    /// The RPC addresses of the control instances that are named.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        let port = |address: &SocketAddr| self.control_port.unwrap_or(address.port());
+        let addresses = self.control.iter();
+        addresses
+            .map(|address| SocketAddr::new(address.ip(), port(address)))
+            .collect()
+    }
+}
+
+impl Settings for GatewaySettings {
+    fn fault(&self) -> Option<(&'static str, String)> {
+        no_control(&self.control)
+    }
+}
+
 impl Settings for AgentSettings {
     fn fault(&self) -> Option<(&'static str, String)> {
         let announce = "announce: only the target beside the agent announces itself, so this must \
@@ -212,6 +311,23 @@
         if numbers.len() != self.peers.len() {
             return Some(("peers", "peers: each peer needs a number of its own".into()));
         }
+        let found = self.discovery.is_some();
+        if found && !numbers.is_empty() {
+            let message = "peers: leave them out where `discovery` is set".to_string();
+            return Some(("peers", message));
+        }
+        if found {
+            let seeds = self
+                .discovery
+                .as_ref()
+                .map(|discovery| discovery.seeds.len());
+            let message = "seeds: name the address of at least one control instance".to_string();
+            return (seeds == Some(0)).then_some(("seeds", message));
+        }
+        if self.data_folder.as_os_str().is_empty() {
+            let message = "data_folder: name the folder where the log is kept".to_string();
+            return Some(("data_folder", message));
+        }
         if !matches!(numbers.len(), 1 | 3 | 5 | 7) {
             let count = numbers.len();
             let message = format!("peers: there are {count}; name 1, 3, 5 or 7 control instances");
@@ -232,8 +348,54 @@
 
 impl ControlSettings {
     /// This instance's own addresses.
-    pub fn own(&self) -> &PeerSettings {
-        let own = self.peers.iter().find(|peer| peer.number == self.number);
-        own.expect("checked when the settings were read")
+    pub fn addresses(&self) -> InstanceAddresses {
+        let listed = self.peers.iter().find(|peer| peer.number == self.number);
+        match (&self.discovery, listed) {
+            (Some(discovery), _) => InstanceAddresses {
+                peer: SocketAddr::new(discovery.api.ip(), discovery.peer_port),
+                rpc: SocketAddr::new(discovery.api.ip(), discovery.rpc_port),
+                api: Some(discovery.api),
+            },
+            (None, Some(own)) => InstanceAddresses {
+                peer: own.peer,
+                rpc: own.rpc,
+                api: None,
+            },
+            (None, None) => unreachable!("checked when the settings were read"),
+        }
+    }
+
+    /// The folder of this instance's replica.
+    pub fn replica_folder(&self) -> PathBuf {
+        match self.data_folder.as_os_str().is_empty() {
+            true => MEMORY_FOLDER.into(),
+            false => self.data_folder.clone(),
+        }
+    }
+
+    /// What this instance says of itself, and how it finds the others.
+    pub fn identity(&self) -> Identity {
+        let addresses = self.addresses();
+        let durable = !self.data_folder.as_os_str().is_empty();
+        match &self.discovery {
+            Some(discovery) => {
+                let peer = |seed: &SocketAddr| SocketAddr::new(seed.ip(), discovery.peer_port);
+                let seeds: Vec<SocketAddr> = discovery.seeds.iter().map(peer).collect();
+                Identity {
+                    addresses,
+                    may_found: discovery.first_start && seeds.contains(&addresses.peer),
+                    durable,
+                    discovery: Discovery::Seeds(seeds),
+                    target_lease_ms: discovery.announcement_ms * LEASE_INTERVALS,
+                }
+            }
+            None => Identity {
+                addresses,
+                may_found: true,
+                durable,
+                discovery: Discovery::Listed(self.peers.clone()),
+                target_lease_ms: default_announcement_ms() * LEASE_INTERVALS,
+            },
+        }
     }
 }
