Grant places at model targets by an agent beside each

Ruled out: processor time (gateways used 0.01 cores of 0.19).

Change: an admission agent beside each model target keeps the line (tier, still in time, came back, short first with ageing), grants its slots, refuses what cannot be answered in time with the wait that it would have had. The gateway asks the best agent first and more while it waits, and sends to the target itself.

--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -1,7 +1,7 @@
 //! The command line: a type for each command, each with a `run`.
 
 use crate::{
-    agent::Agent,
+    agent::{Agent, Keeper},
     commands::{self, CommandError},
     control::{
         ControlServer,
@@ -11,7 +11,9 @@
     dialect::Dialect,
     entry::Entry,
     gateway::Gateway,
-    settings::{AgentSettings, ControlSettings, EntrySettings, GatewaySettings, Settings},
+    settings::{
+        AgentSettings, ControlSettings, EntrySettings, GatewaySettings, KeeperSettings, Settings,
+    },
     signals,
     standin::{Engine, EngineSettings, Plain, PlainSettings},
     telemetry::Telemetry,
@@ -33,6 +35,7 @@
 enum Command {
     Entry(EntryCommand),
     Gateway(GatewayCommand),
+    Admission(AdmissionCommand),
     Agent(AgentCommand),
     Control(ControlCommand),
     Check(CheckCommand),
@@ -65,6 +68,15 @@
     settings: PathBuf,
 }
 
+/// Run the admission agent beside one target: it grants gateways places there.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "admission")]
+struct AdmissionCommand {
+    /// the settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
 /// Run the agent beside one target: it keeps the target's queue.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "agent")]
@@ -292,6 +304,7 @@
         match self {
             Self::Entry(command) => command.run().await,
             Self::Gateway(command) => command.run(D::default()).await,
+            Self::Admission(command) => command.run().await,
             Self::Agent(command) => command.run().await,
             Self::Control(command) => command.run(D::default()).await,
             Self::Check(command) => commands::check(&command.file),
@@ -351,6 +364,19 @@
     }
 }
 
+impl AdmissionCommand {
+    async fn run(self) -> Result<(), CommandError> {
+        let settings = KeeperSettings::read(&self.settings)?;
+        let telemetry = Telemetry::install(&settings.telemetry, &settings.name.0);
+        tokio::spawn(signals::note_reloads(self.settings.clone()));
+        let _keeper = Keeper::bind(&settings).await?;
+        signals::stop_requested().await;
+        tracing::info!(name = %settings.name, "agent: stops");
+        telemetry.flush();
+        Ok(())
+    }
+}
+
 impl ControlCommand {
     async fn run(self, dialect: impl Dialect) -> Result<(), CommandError> {
         let settings = ControlSettings::read(&self.settings)?;
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,7 +1,7 @@
 //! What operators' commands do.
 
 use crate::{
-    agent::AgentStartError,
+    agent::{AgentStartError, KeeperStartError},
     control::{
         ControlClient,
         client::ControlCallError,
@@ -46,6 +46,8 @@
     Entry(EntryStartError),
     /// See [`GatewayStartError`].
     Gateway(GatewayStartError),
+    /// See [`KeeperStartError`].
+    Keeper(KeeperStartError),
     /// See [`AgentStartError`].
     Agent(AgentStartError),
     /// See [`ControlStartError`].
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -300,11 +300,8 @@
             arrived_ms: inbound.arrived_ms,
             objective_at_ms: inbound.arrived_ms + inbound.route.objective_ms,
             deadline_at_ms: inbound.due_ms,
-            work_ms: inbound
-                .asked
-                .answer_tokens
-                .unwrap_or(0)
-                .min(inbound.asked.likely_answer_tokens.unwrap_or(u64::MAX)),
+            work_ms: 0,
+            came_back: false,
         };
         let want = Want {
             request: &inbound.id,
@@ -312,6 +309,8 @@
             waiting,
             prefix: inbound.prefix(),
             tried: &progress.tried,
+            work_units: inbound.work_units(),
+            fingerprint: inbound.fingerprint(),
         };
         let placed = self.targets.place(&want).await;
         placed.map_err(|refusal| match progress.runs {
@@ -386,7 +385,7 @@
         let Reply {
             response,
             connection,
-            place,
+            mut place,
         } = reply;
         let (parts, body) = response.into_parts();
         let reading = Limited::new(body, WHOLE_BYTES).collect();
@@ -405,6 +404,7 @@
             }
         };
         self.connections.keep(&place.target, connection);
+        place.answered();
         if failed {
             let message = format!("the target failed with {}", status.as_u16());
             place.failed(&message);
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -179,6 +179,7 @@
 
     fn finish(&mut self) {
         self.ended = true;
+        self.place.answered();
         if let Some(connection) = self.connection.take() {
             self.attempts
                 .connections
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -9,6 +9,7 @@
     control_view::View,
     document::{CustomerPolicy, RoutePolicy},
     entry::refusal::Refusal,
+    grants,
     units::*,
     verdict::Reason,
 };
@@ -144,6 +145,27 @@
         }
     }
 
+    /// How much work it is, as far as its caller says.
+    pub fn work_units(&self) -> u64 {
+        let most = self.asked.answer_tokens.unwrap_or(0);
+        let likely = self.asked.likely_answer_tokens.unwrap_or(most).min(most);
+        grants::work_units(self.asked.prompt_tokens.unwrap_or(0), likely)
+    }
+
+    /// Recognises a request that its caller sends again: the same customer asks the same of
+    /// the same route.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.route.name.hash(&mut hasher);
+        self.customer
+            .as_ref()
+            .map(|customer| &customer.name)
+            .hash(&mut hasher);
+        self.asked.parts.hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// The part of the prompt that other requests share.
     pub fn prefix(&self) -> Prefix {
         let parts = &self.asked.parts;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -3,12 +3,13 @@
 //! | input | use |
 //! |---|---|
 //! | own requests in progress there | the wait that this gateway adds itself |
+//! | the wait that its agent told lately | the wait that all requests have there |
 //! | the time to the first event of late | the wait that others cause, and the target's pace |
 //! | the target's slots | how much fits at one time |
 //! | whether the prompt's prefix belongs there | computing it again costs time |
 //! | failures of late | a target that fails is left alone for a while |
 //!
-//! The output is the target with the least expected time to the first event.
+//! The output is the order of the targets by the expected time to the first event.
 
 use crate::{derives::record, units::*};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -30,6 +31,8 @@
         pub in_progress: u64,
         /// How many requests it runs at one time.
         pub slots: u64,
+        /// How long its agent said that requests wait; 0 if not known.
+        pub wait_ms: u64,
         /// How long first events of late took; `None` if not known.
         pub first_ms: Option<u64>,
         /// Whether it is in the gateway's failure domain.
@@ -48,15 +51,16 @@
     }
 }
 
-/// The position of the target to take; `None` if there is no candidate. `seed` breaks ties,
-/// so that gateways that know the same do not all choose the same.
-pub fn choose(candidates: &[Candidate], prefix: Prefix, seed: u64) -> Option<usize> {
+/// The positions of the targets, best first. `seed` breaks ties, so that gateways that know
+/// the same do not all choose the same.
+pub fn order(candidates: &[Candidate], prefix: Prefix, seed: u64) -> Vec<usize> {
     let holder = prefix.id.and_then(|id| {
         let by_hash = |candidate: &&Candidate| hash((id, &candidate.name));
         let holder = candidates.iter().max_by_key(by_hash)?;
         Some(holder.name.clone())
     });
-    let cost = |(position, candidate): &(usize, &Candidate)| {
+    let cost = |position: &usize| {
+        let candidate = &candidates[*position];
         let holds = holder.as_ref() == Some(&candidate.name);
         let saved = if holds {
             prefix.percent * PREFIX_PERCENT / 100
@@ -68,8 +72,9 @@
             hash((seed, position)),
         )
     };
-    let best = candidates.iter().enumerate().min_by_key(cost);
-    best.map(|(position, _)| position)
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.sort_by_cached_key(cost);
+    order
 }
 
 /// How long the first event is expected to take.
@@ -85,7 +90,8 @@
     } else {
         CROSSING_MICROS
     };
-    first_ms * 1000 * load_percent / 100 * warm_percent / 100 + crossing_micros
+    let run_micros = first_ms * 1000 * load_percent / 100 * warm_percent / 100;
+    run_micros + candidate.wait_ms * 1000 + crossing_micros
 }
 
 fn hash(parts: impl Hash) -> u64 {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -105,7 +105,11 @@
         };
         let client = Arc::new(ControlClient::new(settings.control_addresses()));
         let view = Arc::new(ControlView::spawn(client, member));
-        let targets = Targets::new(Arc::clone(&view), settings.failure_domain.clone());
+        let targets = Targets::new(
+            Arc::clone(&view),
+            settings.failure_domain.clone(),
+            settings.admission_port,
+        );
         let attempts = Arc::new(Attempts {
             dialect,
             targets,
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -1,7 +1,9 @@
 //! The targets as this gateway sees them, and the requests that wait for a place there.
 
 use super::{
+    keepers::{Asked, Keepers},
     placement::{self, Candidate, Prefix},
+    search::{Found, Search},
     waiting_line::{Ticket, Waiting, WaitingLine},
 };
 use crate::{
@@ -16,7 +18,8 @@
     verdict::Reason,
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -37,6 +40,8 @@
 const MEASURED_MS: u64 = 5000;
 /// The time that a request takes, assumed before any was measured.
 const ASSUMED_RUN_MS: u64 = 300;
+/// How long a wait that an agent told is believed.
+const WAIT_BELIEVED_MS: u64 = 500;
 /// The bounds of the advice when to come back.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=5000;
 
@@ -52,6 +57,10 @@
     pub prefix: Prefix,
     /// Targets that have been tried.
     pub tried: &'a [TargetName],
+    /// How much work it is; see [`crate::grants::work_units`].
+    pub work_units: u64,
+    /// Recognises a request that was refused and came back.
+    pub fingerprint: u64,
 }
 
 /// A place at a target; given back when it is dropped.
@@ -61,6 +70,7 @@
     /// The target.
     pub target: TargetEntry,
     began_ms: u64,
+    granted: Option<Asked>,
 }
 
 #[derive(Default)]
@@ -71,6 +81,8 @@
     rests_until_ms: u64,
     rest_ms: u64,
     failures: u64,
+    /// How long a request would have waited there, and when that was said.
+    wait: Option<(u64, u64)>,
 }
 
 #[derive(Default)]
@@ -92,6 +104,8 @@
 pub struct Targets {
     view: Arc<ControlView>,
     failure_domain: FailureDomain,
+    keepers: Keepers,
+    admission_port: Option<u16>,
     state: Mutex<State>,
 }
 
@@ -130,10 +144,16 @@
 
 impl Targets {
     /// No target is known yet beyond the view.
-    pub fn new(view: Arc<ControlView>, failure_domain: FailureDomain) -> Arc<Self> {
+    pub fn new(
+        view: Arc<ControlView>,
+        failure_domain: FailureDomain,
+        admission_port: Option<u16>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             view,
             failure_domain,
+            keepers: Keepers::default(),
+            admission_port,
             state: Mutex::default(),
         })
     }
@@ -143,6 +163,50 @@
     /// # Errors
     /// Fails with a refusal, not run, if there is none in time.
     pub async fn place(self: &Arc<Self>, want: &Want<'_>) -> Result<Place, Refusal> {
+        let view = self.view.load();
+        let is_model = view
+            .policy
+            .service(want.service)
+            .is_some_and(|service| service.is_model);
+        match self.admission_port.filter(|_| is_model) {
+            Some(port) => self.place_granted(want, port).await,
+            None => self.place_shared(want).await,
+        }
+    }
+
+    /// Finds a place that the agent of a target grants.
+    async fn place_granted(self: &Arc<Self>, want: &Want<'_>, port: u16) -> Result<Place, Refusal> {
+        let now_ms = clock::boot_ms();
+        let targets = self.in_order(&self.state(), want, now_ms);
+        if targets.is_empty() {
+            return Err(no_target(want));
+        }
+        let mut search = Search::new(&self.keepers, want, &targets, port);
+        let found = search.run().await;
+        let waits = std::mem::take(&mut search.waits);
+        drop(search);
+        let now_ms = clock::boot_ms();
+        let mut state = self.state();
+        for (name, wait_ms) in waits {
+            state.known.entry(name).or_default().wait = Some((wait_ms, now_ms));
+        }
+        match found {
+            Found::Place(position, granted) => {
+                let target = targets[position].clone();
+                Ok(self.take(&mut state, want, target, Some(granted), now_ms))
+            }
+            Found::Refused(wait_ms) => {
+                let waited_ms = now_ms.saturating_sub(want.waiting.arrived_ms);
+                let message = format!("a wait of {wait_ms} ms is expected, after {waited_ms} ms");
+                let refusal = Refusal::not_run(Reason::Shed, message);
+                Err(refusal.retry_after(retry_after_ms(wait_ms)))
+            }
+            Found::NoAgent => self.choose(&mut state, want, now_ms),
+        }
+    }
+
+    /// Finds a place by this gateway's part of all places.
+    async fn place_shared(self: &Arc<Self>, want: &Want<'_>) -> Result<Place, Refusal> {
         let now_ms = clock::boot_ms();
         let waits = {
             let mut state = self.state();
@@ -198,6 +262,12 @@
     /// Drops what is known of targets that are gone.
     pub fn sweep(&self) {
         let view = self.view.load();
+        if let Some(port) = self.admission_port {
+            let agents = view.targets.values();
+            let agents = agents.map(|target| SocketAddr::new(target.address.ip(), port));
+            let agents: HashSet<SocketAddr> = agents.collect();
+            self.keepers.keep(|address| agents.contains(address));
+        }
         self.state()
             .known
             .retain(|name, known| known.in_progress > 0 || view.targets.contains_key(name));
@@ -231,6 +301,15 @@
         want: &Want,
         now_ms: u64,
     ) -> Result<Place, Refusal> {
+        match self.in_order(state, want, now_ms).into_iter().next() {
+            Some(target) => Ok(self.take(state, want, target, None, now_ms)),
+            None => Err(no_target(want)),
+        }
+    }
+
+    /// The targets that may get a request, best first. Those that rest after a failure are
+    /// left out while there are others.
+    fn in_order(&self, state: &State, want: &Want, now_ms: u64) -> Vec<TargetEntry> {
         let view = self.view.load();
         let serves = |target: &&TargetEntry| target.service == *want.service && !target.leaving;
         let all: Vec<&TargetEntry> = view.targets.values().filter(serves).collect();
@@ -239,8 +318,8 @@
             let known = state.known.get(&target.name);
             known.is_none_or(|known| known.rests_until_ms <= now_ms)
         };
-        let mut usable: Vec<&TargetEntry> =
-            all.iter().filter(untried).filter(rested).copied().collect();
+        let untried_targets = all.iter().filter(untried);
+        let mut usable: Vec<&TargetEntry> = untried_targets.filter(rested).copied().collect();
         if usable.is_empty() {
             usable = all.iter().filter(untried).copied().collect();
         }
@@ -248,17 +327,19 @@
             .iter()
             .map(|target| self.candidate(state, target, now_ms))
             .collect();
-        let seed = now_ms
-            ^ state
-                .lines
-                .get(want.service)
-                .map_or(0, |line| line.in_progress << 20);
-        let Some(position) = placement::choose(&candidates, want.prefix, seed) else {
-            let message = format!("no target of {} takes work", want.service);
-            let refusal = Refusal::not_run(Reason::NoTarget, message);
-            return Err(refusal.retry_after(*RETRY_AFTER_MS.start() * 5));
-        };
-        let target = usable[position].clone();
+        let order = placement::order(&candidates, want.prefix, want.fingerprint ^ now_ms);
+        let order = order.into_iter();
+        order.map(|position| usable[position].clone()).collect()
+    }
+
+    fn take(
+        self: &Arc<Self>,
+        state: &mut State,
+        want: &Want,
+        target: TargetEntry,
+        granted: Option<Asked>,
+        now_ms: u64,
+    ) -> Place {
         let known = state.known.entry(target.name.clone()).or_default();
         known.in_progress += 1;
         let line = state.lines.entry(want.service.clone()).or_default();
@@ -268,12 +349,13 @@
             first_ms = ?known.first_ms, waited_ms = now_ms - want.waiting.arrived_ms,
             "gateway: placed"
         );
-        Ok(Place {
+        Place {
             targets: Arc::clone(self),
             service: want.service.clone(),
             target,
             began_ms: now_ms,
-        })
+            granted,
+        }
     }
 
     fn candidate(&self, state: &State, target: &TargetEntry, now_ms: u64) -> Candidate {
@@ -283,6 +365,10 @@
             name: target.name.clone(),
             in_progress: known.map_or(0, |known| known.in_progress),
             slots: u64::from(target.slots),
+            wait_ms: known
+                .and_then(|known| known.wait)
+                .filter(|(_, at_ms)| now_ms < at_ms + WAIT_BELIEVED_MS)
+                .map_or(0, |(wait_ms, _)| wait_ms),
             first_ms: measured.and_then(|known| known.first_ms),
             is_near: target.failure_domain == self.failure_domain,
             warming_up: target.warming_up,
@@ -302,9 +388,7 @@
         if wait_ms + want.waiting.work_ms > left_ms {
             let message = format!("a wait of {wait_ms} ms is expected and {left_ms} ms are left");
             let refusal = Refusal::not_run(Reason::Shed, message);
-            return Err(
-                refusal.retry_after(wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end()))
-            );
+            return Err(refusal.retry_after(retry_after_ms(wait_ms)));
         }
         let ticket = line.waiting.join(want.waiting);
         let (waker, woken) = oneshot::channel();
@@ -317,7 +401,7 @@
         let line = state.lines.entry(want.service.clone()).or_default();
         let wait_ms = line.expected_wait_ms(want.waiting.rank);
         let refusal = Refusal::not_run(Reason::Shed, message);
-        refusal.retry_after(wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end()))
+        refusal.retry_after(retry_after_ms(wait_ms))
     }
 
     /// Lets requests go while there is room.
@@ -351,6 +435,15 @@
     }
 }
 
+fn retry_after_ms(wait_ms: u64) -> u64 {
+    wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
+}
+
+fn no_target(want: &Want) -> Refusal {
+    let message = format!("no target of {} takes work", want.service);
+    Refusal::not_run(Reason::NoTarget, message).retry_after(*RETRY_AFTER_MS.start() * 5)
+}
+
 impl Line {
     /// How long a new request of a rank would wait.
     fn expected_wait_ms(&self, rank: TierRank) -> u64 {
@@ -371,6 +464,14 @@
         known.failures = 0;
     }
 
+    /// Notes that the request was answered to its end.
+    pub fn answered(&mut self) {
+        let ran_ms = clock::boot_ms().saturating_sub(self.began_ms);
+        if let Some(granted) = &mut self.granted {
+            granted.ran_ms = Some(ran_ms);
+        }
+    }
+
     /// Leaves the target alone for a while: it could not be reached, or it failed.
     pub fn failed(&self, error: &str) {
         let mut state = self.targets.state();
--- a/src/gateway/waiting_line.rs
+++ b/src/gateway/waiting_line.rs
@@ -30,6 +30,8 @@
         pub deadline_at_ms: u64,
         /// How long it would take, roughly.
         pub work_ms: u64,
+        /// Whether its caller was refused before and came back.
+        pub came_back: bool,
     }
 }
 
@@ -70,14 +72,10 @@
 
     /// Takes out the request that is to go next.
     pub fn next(&mut self, now_ms: u64) -> Option<Ticket> {
-        let first = self.waiting.iter().min_by_key(|(ticket, waiting)| {
-            (
-                waiting.rank,
-                waiting.is_late(now_ms),
-                waiting.urgency(now_ms),
-                **ticket,
-            )
-        });
+        let first = self
+            .waiting
+            .iter()
+            .min_by_key(|(ticket, waiting)| waiting.order(**ticket, now_ms));
         let ticket = first.map(|(ticket, _)| *ticket)?;
         self.waiting.remove(&ticket);
         Some(ticket)
@@ -85,14 +83,10 @@
 
     /// Takes out the request to drop first: of the lowest tier, the one that would go last.
     pub fn drop_last(&mut self, now_ms: u64) -> Option<(Ticket, Waiting)> {
-        let last = self.waiting.iter().max_by_key(|(ticket, waiting)| {
-            (
-                waiting.rank,
-                waiting.is_late(now_ms),
-                waiting.urgency(now_ms),
-                **ticket,
-            )
-        });
+        let last = self
+            .waiting
+            .iter()
+            .max_by_key(|(ticket, waiting)| waiting.order(**ticket, now_ms));
         let ticket = last.map(|(ticket, _)| *ticket)?;
         self.waiting
             .remove(&ticket)
@@ -107,6 +101,12 @@
 }
 
 impl Waiting {
+    /// The least goes first.
+    fn order(&self, ticket: Ticket, now_ms: u64) -> (TierRank, bool, bool, i64, Ticket) {
+        let (late, anew) = (self.is_late(now_ms), !self.came_back);
+        (self.rank, late, anew, self.urgency(now_ms), ticket)
+    }
+
     fn is_late(&self, now_ms: u64) -> bool {
         now_ms > self.objective_at_ms
     }
--- /dev/null
+++ b/src/grants.rs
@@ -0,0 +1,94 @@
+//! Messages between gateways and admission agents.
+
+use crate::{
+    derives::{quantity, record},
+    units::*,
+};
+
+quantity! {
+    /// Names a request on one link between a gateway and an agent.
+    TicketNumber(u64)
+}
+
+record! {
+    /// Asks for a place at the agent's target. Times are left, not of day, so that they
+    /// need no common clock.
+    pub struct Ask {
+        /// Names the request on this link.
+        pub ticket: TicketNumber,
+        /// The target that is meant; a later start goes before an earlier one.
+        pub started_unix_ms: u64,
+        /// How many requests the target runs at one time.
+        pub slots: u32,
+        /// The request's tier.
+        pub rank: TierRank,
+        /// How long it has waited already.
+        pub waited_ms: u64,
+        /// How long its answer is still of full value.
+        pub objective_left_ms: u64,
+        /// How long its caller still waits.
+        pub deadline_left_ms: u64,
+        /// How much work it is; see [`work_units`].
+        pub work_units: u64,
+        /// At how many agents it asks for a place at the same time.
+        pub copies: u64,
+        /// Recognises a request that was refused before and came back.
+        pub fingerprint: u64,
+    }
+
+    /// From a gateway to an agent.
+    pub enum ToKeeper {
+        /// Asks for a place.
+        Ask(Ask),
+        /// Gives up a place, in the line or granted; `ran_ms` if the request was answered.
+        Drop {
+            /// See [`Ask::ticket`].
+            ticket: TicketNumber,
+            /// How long it ran.
+            ran_ms: Option<u64>,
+        },
+    }
+
+    /// From an agent to a gateway.
+    pub enum FromKeeper {
+        /// A place is free: send the request.
+        Granted {
+            /// See [`Ask::ticket`].
+            ticket: TicketNumber,
+        },
+        /// It waits, and likely for how long.
+        Queued {
+            /// See [`Ask::ticket`].
+            ticket: TicketNumber,
+            /// How long.
+            wait_ms: u64,
+        },
+        /// It has no place here, and would have to wait so long.
+        Refused {
+            /// See [`Ask::ticket`].
+            ticket: TicketNumber,
+            /// How long.
+            wait_ms: u64,
+        },
+    }
+}
+
+/// A prompt token is this much less work than a token of the answer: engines compute
+/// prompts in parallel.
+const PROMPT_TOKENS_PER_UNIT: u64 = 64;
+
+/// The work of a request, in tokens of an answer.
+pub fn work_units(prompt_tokens: u64, answer_tokens: u64) -> u64 {
+    answer_tokens + prompt_tokens / PROMPT_TOKENS_PER_UNIT + 1
+}
+
+impl FromKeeper {
+    /// The request that it is about.
+    pub fn ticket(&self) -> TicketNumber {
+        match self {
+            Self::Granted { ticket }
+            | Self::Queued { ticket, .. }
+            | Self::Refused { ticket, .. } => *ticket,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod document_types;
 pub mod entry;
 pub mod gateway;
+pub mod grants;
 pub mod http_server;
 pub mod link;
 pub mod metrics;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -70,6 +70,10 @@
         /// The port of their RPC, if it is not the one in `control`.
         #[serde(default)]
         pub control_port: Option<u16>,
+        /// The port of the admission agents at the addresses of model targets; without
+        /// it, gateways share the places of those as they do those of plain services.
+        #[serde(default)]
+        pub admission_port: Option<u16>,
         /// How long it serves on after it turns unready, for the balancer.
         #[serde(default = "default_balancer_delay_ms")]
         pub balancer_delay_ms: u64,
@@ -84,6 +88,18 @@
         pub telemetry: TelemetrySettings,
     }
 
+    /// Settings of `guavacove admission`.
+    #[serde(deny_unknown_fields)]
+    pub struct KeeperSettings {
+        /// The process's name, unique in the system.
+        pub name: ProcessName,
+        /// Where gateways connect, at the address of the target.
+        pub listen: SocketAddr,
+        /// See [`TelemetrySettings`].
+        #[serde(default)]
+        pub telemetry: TelemetrySettings,
+    }
+
     /// Settings of `guavacove agent`.
     #[serde(deny_unknown_fields)]
     pub struct AgentSettings {
@@ -292,6 +308,12 @@
     }
 }
 
+impl Settings for KeeperSettings {
+    fn fault(&self) -> Option<(&'static str, String)> {
+        None
+    }
+}
+
 impl Settings for AgentSettings {
     fn fault(&self) -> Option<(&'static str, String)> {
         let announce = "announce: only the target beside the agent announces itself, so this must \
