Never give the same part of a quota to two gateways

Change: gateways report the part that they go by, and the leader gives out only what others do not hold; parts of every customer go to every gateway; what is given back never exceeds the bucket. Log lines that tests read have their old words again.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -188,7 +188,7 @@
         }
         let control = decode_state(&log.snapshot.state)?;
         let last_index = log.last_index();
-        tracing::info!(replica = %id, last_index = last_index.0, version = control.document().version.0, "control: replica starts");
+        tracing::info!("control: replica {id} starts at entry {last_index}");
         let may_found = identity.may_found && last_index == LogIndex(0);
         let known = storage.read_note(INSTANCES_NOTE).unwrap_or_default();
         let roster = Roster::new(
@@ -336,7 +336,10 @@
             }
         }
         if let Some(snapshot) = restore {
-            tracing::info!(index = snapshot.index.0, "control: restored a snapshot");
+            tracing::info!(
+                "control: restored a snapshot up to entry {}",
+                snapshot.index
+            );
             self.control = decode_state(&snapshot.state)?;
         }
         let version_before = self.control.document().version;
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -120,7 +120,7 @@
         };
         let (reply, is_news) = self.reply_to(&request, now_ms);
         if is_news || request.wait_ms == 0 {
-            let _ = port.send(Ok(reply));
+            self.answer(&request.member.name, port, reply);
         } else {
             self.waiting.push(Waiting {
                 request,
@@ -196,6 +196,15 @@
         )
     }
 
+    /// Sends a reply; the parts in it are held by its reader from now on.
+    fn answer(&mut self, reader: &ProcessName, port: Port<SyncReply>, reply: SyncReply) {
+        if let Some(shares) = &reply.shares {
+            self.demands.told(reader, shares);
+        }
+        // A reader that has gone renews on another connection.
+        let _ = port.send(Ok(reply));
+    }
+
     /// Answers those that wait and now lack something.
     pub(super) fn answer_waiting(&mut self) {
         if self.leased().is_err() {
@@ -203,7 +212,7 @@
         }
         for waiting in std::mem::take(&mut self.waiting) {
             match self.reply_to(&waiting.request, waiting.arrived_ms) {
-                (reply, true) => drop(waiting.port.send(Ok(reply))),
+                (reply, true) => self.answer(&waiting.request.member.name, waiting.port, reply),
                 (_, false) => self.waiting.push(waiting),
             }
         }
@@ -215,7 +224,7 @@
             match waiting.until_ms() <= now_ms {
                 true => {
                     let (reply, _) = self.reply_to(&waiting.request, waiting.arrived_ms);
-                    let _ = waiting.port.send(Ok(reply));
+                    self.answer(&waiting.request.member.name, waiting.port, reply);
                 }
                 false => self.waiting.push(waiting),
             }
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -5,7 +5,7 @@
 //! gateway keeps its last share while there is no leader, so the sum stays whole.
 
 use crate::{derives::record, units::*};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The part of each quota that is divided evenly, in thousandths: a quarter leaves a
 /// gateway without demand room to begin, and takes little from those that need it.
@@ -17,12 +17,21 @@
     /// What a gateway was asked for lately.
     #[derive(Default)]
     pub struct Demand {
-        /// Units of each customer's quota a second.
-        pub customers: BTreeMap<CustomerName, u64>,
+        /// Units of each customer's quota a second, and the part that is in use.
+        pub customers: BTreeMap<CustomerName, QuotaDemand>,
         /// Requests of each service in progress or waiting.
         pub services: BTreeMap<ServiceName, u64>,
     }
 
+    /// What a gateway was asked for of one customer's quota.
+    #[derive(Copy, Default)]
+    pub struct QuotaDemand {
+        /// Units a second, of late.
+        pub units_per_s: u64,
+        /// The part that the gateway goes by, in millionths.
+        pub held_ppm: u64,
+    }
+
     /// A gateway's parts, in millionths.
     #[derive(Default)]
     pub struct Shares {
@@ -54,6 +63,19 @@
         self.0.insert(gateway, demand);
     }
 
+    /// Notes the parts that a gateway was told, which it goes by from now on.
+    pub fn told(&mut self, gateway: &ProcessName, shares: &Shares) {
+        if let Some(demand) = self.0.get_mut(gateway) {
+            for (customer, held_ppm) in &shares.customers {
+                demand
+                    .customers
+                    .entry(customer.clone())
+                    .or_default()
+                    .held_ppm = *held_ppm;
+            }
+        }
+    }
+
     /// Drops a gateway that is gone.
     pub fn remove(&mut self, gateway: &ProcessName) {
         self.0.remove(gateway);
@@ -65,9 +87,27 @@
             return Shares::default();
         };
         let gateways = self.0.len() as u64;
-        let customers = own.customers.iter().map(|(customer, wanted)| {
-            let all = self.0.values().filter_map(|d| d.customers.get(customer));
-            (customer.clone(), share_ppm(*wanted, all.sum(), gateways))
+        let asked: BTreeSet<&CustomerName> =
+            self.0.values().flat_map(|d| d.customers.keys()).collect();
+        let customers = asked.into_iter().map(|customer| {
+            let wanted = own
+                .customers
+                .get(customer)
+                .map_or(0, |demand| demand.units_per_s);
+            let all = || {
+                self.0
+                    .iter()
+                    .filter_map(|(name, d)| Some((name, d.customers.get(customer)?)))
+            };
+            let wanted_by_all = all().map(|(_, demand)| demand.units_per_s).sum();
+            let others = all().filter(|(name, _)| *name != gateway);
+            let held_ppm: u64 = others.map(|(_, demand)| demand.held_ppm).sum();
+            // What others still go by is not given twice.
+            let free_ppm = WHOLE_PPM.saturating_sub(held_ppm);
+            (
+                customer.clone(),
+                share_ppm(wanted, wanted_by_all, gateways).min(free_ppm),
+            )
         });
         let services = own.services.iter().map(|(service, wanted)| {
             let all = self.0.values().filter_map(|d| d.services.get(service));
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -1,7 +1,7 @@
 //! A gateway's part of each customer's quota, as a bucket that refills.
 
 use crate::{
-    control::shares::{Shares, WHOLE_PPM, share_ppm},
+    control::shares::{QuotaDemand, Shares, WHOLE_PPM, share_ppm},
     document::QuotaPolicy,
     units::CustomerName,
 };
@@ -9,12 +9,16 @@
 
 /// Gateways assumed until the leader has said how many there are.
 const ASSUMED_GATEWAYS: u64 = 8;
+/// The part of the slack that is used, in percent; the rest covers what changes hands
+/// between gateways.
+const SLACK_PERCENT: u64 = 50;
 /// How long demand is averaged over.
 const DEMAND_MS: u64 = 1000;
 
 #[derive(Debug, Default)]
 struct Bucket {
     milli_units: u64,
+    most_milli: u64,
     filled_ms: u64,
     asked_units: u64,
     asked_since_ms: u64,
@@ -61,7 +65,7 @@
         now_ms: u64,
     ) -> Result<(), u64> {
         let ppm = self.share_of(customer);
-        let slack = self.slack_units / self.gateways();
+        let slack = self.slack_units * SLACK_PERCENT / 100 / self.gateways();
         let bucket = self.buckets.entry(customer.clone()).or_default();
         bucket.count_demand(units, now_ms);
         let rate_per_s = (quota.rate_per_s * ppm / WHOLE_PPM).max(1);
@@ -80,16 +84,23 @@
     /// Gives back units of a request that did not run.
     pub fn give_back(&mut self, customer: &CustomerName, units: u64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
-            bucket.milli_units += units * 1000;
+            bucket.milli_units = (bucket.milli_units + units * 1000).min(bucket.most_milli);
         }
     }
 
     /// Units of each customer that were asked for, a second.
-    pub fn demand(&mut self, now_ms: u64) -> BTreeMap<CustomerName, u64> {
-        let buckets = self.buckets.iter_mut();
-        let demands = buckets.map(|(customer, bucket)| {
+    pub fn demand(&mut self, now_ms: u64) -> BTreeMap<CustomerName, QuotaDemand> {
+        let names: Vec<CustomerName> = self.buckets.keys().cloned().collect();
+        let demands = names.into_iter().map(|customer| {
+            let held_ppm = self.share_of(&customer);
+            let bucket = self.buckets.entry(customer.clone()).or_default();
             bucket.count_demand(0, now_ms);
-            (customer.clone(), bucket.demand_per_s)
+            let units_per_s = bucket.demand_per_s;
+            let demand = QuotaDemand {
+                units_per_s,
+                held_ppm,
+            };
+            (customer, demand)
         });
         demands.collect()
     }
@@ -114,6 +125,7 @@
                 .min(most_milli),
             false => most_milli,
         };
+        self.most_milli = most_milli;
         self.started = true;
         self.filled_ms = now_ms;
     }
