Expect waits by how fast a line gets shorter

Ruled out: a wrong pace (learnt run times were right).

Change: the wait of a place in the line is its position over the rate at which requests leave the line, granted here or elsewhere; no less than what the target serves by itself.

--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -4,7 +4,8 @@
 //! |---|---|
 //! | slots of the target | how many requests hold a place at one time |
 //! | the line, see [`WaitingLine`] | who is next |
-//! | run times of late | the target's pace, and from it every expected wait |
+//! | run times of late | the target's pace, and from it how long a request takes |
+//! | how fast the line gets shorter | every expected wait: requests wait at several agents, so most leave without being served here |
 //! | deadlines | who would not be answered in time is refused at once |
 //!
 //! Outputs: grants, expected waits, refusals with the wait that they would have had.
@@ -17,9 +18,13 @@
 
 /// The time for one unit of work before any was measured, in microseconds.
 const ASSUMED_UNIT_MICROS: u64 = 5000;
+/// The work of a request before any was measured.
+const ASSUMED_RUN_UNITS: u64 = 100;
 /// The part of a new measurement in the pace: one of so many.
 const PACE_SAMPLES: u64 = 16;
 
+/// How long the rate at which the line gets shorter is averaged over.
+const DRAIN_MS: u64 = 1000;
 /// How many refused requests are remembered.
 const REMEMBERED_REFUSALS: usize = 512;
 
@@ -41,7 +46,6 @@
 struct Entry {
     holder: Holder,
     units: u64,
-    copies: u64,
     fingerprint: u64,
 }
 
@@ -54,6 +58,10 @@
     tickets: BTreeMap<Holder, Ticket>,
     holding: BTreeMap<Holder, u64>,
     unit_micros: u64,
+    run_units: u64,
+    left: u64,
+    left_since_ms: u64,
+    drain_milli_per_s: u64,
     refused: VecDeque<u64>,
 }
 
@@ -66,6 +74,10 @@
             tickets: BTreeMap::new(),
             holding: BTreeMap::new(),
             unit_micros: ASSUMED_UNIT_MICROS,
+            run_units: ASSUMED_RUN_UNITS,
+            left: 0,
+            left_since_ms: 0,
+            drain_milli_per_s: 0,
             refused: VecDeque::new(),
         }
     }
@@ -76,11 +88,6 @@
     pub fn ask(&mut self, holder: Holder, ask: &Ask, now_ms: u64) -> Vec<Outcome> {
         self.slots = u64::from(ask.slots).max(1);
         let work_ms = self.work_ms(ask.work_units);
-        let wait_ms = self.expected_wait_ms(ask);
-        if wait_ms + work_ms > ask.deadline_left_ms {
-            self.remember(ask.fingerprint);
-            return vec![Outcome::Refused(holder, wait_ms)];
-        }
         let waiting = Waiting {
             rank: ask.rank,
             arrived_ms: now_ms.saturating_sub(ask.waited_ms),
@@ -89,11 +96,15 @@
             work_ms,
             came_back: self.refused.contains(&ask.fingerprint),
         };
+        let wait_ms = self.expected_wait_ms(&waiting, now_ms);
+        if wait_ms + work_ms > ask.deadline_left_ms {
+            self.remember(ask.fingerprint);
+            return vec![Outcome::Refused(holder, wait_ms)];
+        }
         let ticket = self.line.join(waiting);
         let entry = Entry {
             holder,
             units: ask.work_units,
-            copies: ask.copies.max(1),
             fingerprint: ask.fingerprint,
         };
         self.waiting.insert(ticket, (entry, waiting));
@@ -110,9 +121,11 @@
         if let Some(ticket) = self.tickets.remove(&holder) {
             self.waiting.remove(&ticket);
             self.line.leave(ticket);
+            self.left += 1;
         }
         if let (Some(units), Some(ran_ms)) = (self.holding.remove(&holder), ran_ms) {
             let measured = ran_ms * 1000 / units.max(1);
+            self.run_units = (self.run_units * (PACE_SAMPLES - 1) + units) / PACE_SAMPLES;
             self.unit_micros = (self.unit_micros * (PACE_SAMPLES - 1) + measured) / PACE_SAMPLES;
         }
         self.grant(now_ms)
@@ -132,6 +145,7 @@
 
     /// Refuses those that can no longer be answered in time.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outcome> {
+        self.measure_drain(now_ms);
         let hopeless = |waiting: &Waiting| now_ms + waiting.work_ms > waiting.deadline_at_ms;
         let late: Vec<(Ticket, Entry)> = self
             .waiting
@@ -145,7 +159,10 @@
             self.tickets.remove(&entry.holder);
             self.line.leave(ticket);
             self.remember(entry.fingerprint);
-            outcomes.push(Outcome::Refused(entry.holder, self.drain_ms()));
+            outcomes.push(Outcome::Refused(
+                entry.holder,
+                self.drain_ms(self.waiting.len()),
+            ));
         }
         outcomes.extend(self.grant(now_ms));
         outcomes
@@ -165,6 +182,7 @@
             if let Some((entry, _)) = self.waiting.remove(&ticket) {
                 self.tickets.remove(&entry.holder);
                 self.holding.insert(entry.holder, entry.units);
+                self.left += 1;
                 outcomes.push(Outcome::Granted(entry.holder));
             }
         }
@@ -182,28 +200,30 @@
         units * self.unit_micros / 1000
     }
 
+    fn measure_drain(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.left_since_ms).min(DRAIN_MS);
+        if elapsed_ms > 0 {
+            let milli_per_s = self.left * 1_000_000 / elapsed_ms;
+            let kept = self.drain_milli_per_s * (DRAIN_MS - elapsed_ms);
+            self.drain_milli_per_s = (kept + milli_per_s * elapsed_ms) / DRAIN_MS;
+            self.left = 0;
+            self.left_since_ms = now_ms;
+        }
+    }
+
     /// How long a request would wait here behind what goes before it.
-    fn expected_wait_ms(&self, ask: &Ask) -> u64 {
-        if (self.holding.len() as u64) < self.slots {
-            return 0;
+    fn expected_wait_ms(&self, waiting: &Waiting, now_ms: u64) -> u64 {
+        match (self.holding.len() as u64) < self.slots {
+            true => 0,
+            false => self.drain_ms(self.line.ahead_of(waiting, now_ms) + 1),
         }
-        let running: u64 = self.holding.values().sum();
-        let ahead = self
-            .waiting
-            .values()
-            .filter(|(_, waiting)| waiting.rank <= ask.rank);
-        // A request that waits at several agents is served by one of them.
-        let ahead: u64 = ahead.map(|(entry, _)| entry.units / entry.copies).sum();
-        // Those that run are half done, on average.
-        self.work_ms(running / 2 + ahead) / self.slots
     }
 
-    /// How long it takes until nothing waits.
-    fn drain_ms(&self) -> u64 {
-        let all = self
-            .waiting
-            .values()
-            .map(|(entry, _)| entry.units / entry.copies);
-        self.work_ms(all.sum()) / self.slots
+    /// How long it takes until so many have left the line.
+    fn drain_ms(&self, count: usize) -> u64 {
+        let run_ms = self.work_ms(self.run_units).max(1);
+        let served_milli_per_s = self.slots * 1_000_000 / run_ms;
+        let milli_per_s = self.drain_milli_per_s.max(served_milli_per_s).max(1);
+        count as u64 * 1_000_000 / milli_per_s
     }
 }
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -143,7 +143,6 @@
             objective_left_ms: waiting.objective_at_ms.saturating_sub(now_ms),
             deadline_left_ms: waiting.deadline_at_ms.saturating_sub(now_ms),
             work_units: self.want.work_units,
-            copies: self.open.len() as u64 + 1,
             fingerprint: self.want.fingerprint,
         };
         let address = SocketAddr::new(target.address.ip(), self.port);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -383,7 +383,7 @@
         now_ms: u64,
     ) -> Result<(Ticket, oneshot::Receiver<()>), Refusal> {
         let line = state.lines.entry(want.service.clone()).or_default();
-        let wait_ms = line.expected_wait_ms(want.waiting.rank);
+        let wait_ms = line.expected_wait_ms(&want.waiting, now_ms);
         let left_ms = want.waiting.deadline_at_ms.saturating_sub(now_ms);
         if wait_ms + want.waiting.work_ms > left_ms {
             let message = format!("a wait of {wait_ms} ms is expected and {left_ms} ms are left");
@@ -397,9 +397,10 @@
     }
 
     fn shed(&self, want: &Want, message: &str) -> Refusal {
+        let now_ms = clock::boot_ms();
         let mut state = self.state();
         let line = state.lines.entry(want.service.clone()).or_default();
-        let wait_ms = line.expected_wait_ms(want.waiting.rank);
+        let wait_ms = line.expected_wait_ms(&want.waiting, now_ms);
         let refusal = Refusal::not_run(Reason::Shed, message);
         refusal.retry_after(retry_after_ms(wait_ms))
     }
@@ -446,8 +447,8 @@
 
 impl Line {
     /// How long a new request of a rank would wait.
-    fn expected_wait_ms(&self, rank: TierRank) -> u64 {
-        let ahead = self.waiting.ahead_of(rank) as u64 + 1;
+    fn expected_wait_ms(&self, waiting: &Waiting, now_ms: u64) -> u64 {
+        let ahead = self.waiting.ahead_of(waiting, now_ms) as u64 + 1;
         ahead * self.run_ms.unwrap_or(ASSUMED_RUN_MS) / self.in_progress.max(1)
     }
 }
--- a/src/gateway/waiting_line.rs
+++ b/src/gateway/waiting_line.rs
@@ -93,10 +93,13 @@
             .map(|waiting| (ticket, waiting))
     }
 
-    /// How many wait that would go before a request of this rank.
-    pub fn ahead_of(&self, rank: TierRank) -> usize {
-        let ahead = self.waiting.values().filter(|waiting| waiting.rank <= rank);
-        ahead.count()
+    /// How many wait that would go before a request that joins now.
+    pub fn ahead_of(&self, joining: &Waiting, now_ms: u64) -> usize {
+        let last = joining.order(Ticket(self.next), now_ms);
+        let waiting = self.waiting.iter();
+        waiting
+            .filter(|(ticket, waiting)| waiting.order(**ticket, now_ms) < last)
+            .count()
     }
 }
 
--- a/src/grants.rs
+++ b/src/grants.rs
@@ -30,8 +30,6 @@
         pub deadline_left_ms: u64,
         /// How much work it is; see [`work_units`].
         pub work_units: u64,
-        /// At how many agents it asks for a place at the same time.
-        pub copies: u64,
         /// Recognises a request that was refused before and came back.
         pub fingerprint: u64,
     }
