Give up by what callers wait for, and lend quotas from the leader

Cause: callers leave a silent stream long before their deadline, so requests waited for nothing; parts of quotas were too small for callers that come in clumps.

Change: routes say how long callers wait for an event; the line refuses what cannot begin by then, and expects a starved rank to wait as long as it has starved. Three tenths of a quota stay with the leader, who lends them on demand.

--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -13,6 +13,7 @@
 use crate::{
     gateway::waiting_line::{Ticket, Waiting, WaitingLine},
     grants::Ask,
+    units::TierRank,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -63,6 +64,8 @@
     left_since_ms: u64,
     drain_milli_per_s: u64,
     refused: VecDeque<u64>,
+    /// When a request of each rank last got a place.
+    served_ms: BTreeMap<TierRank, u64>,
 }
 
 impl Default for Slots {
@@ -79,6 +82,7 @@
             left_since_ms: 0,
             drain_milli_per_s: 0,
             refused: VecDeque::new(),
+            served_ms: BTreeMap::new(),
         }
     }
 }
@@ -92,12 +96,13 @@
             rank: ask.rank,
             arrived_ms: now_ms.saturating_sub(ask.waited_ms),
             objective_at_ms: now_ms + ask.objective_left_ms,
+            begin_by_ms: now_ms + ask.begin_left_ms,
             deadline_at_ms: now_ms + ask.deadline_left_ms,
             work_ms,
             came_back: self.refused.contains(&ask.fingerprint),
         };
         let wait_ms = self.expected_wait_ms(&waiting, now_ms);
-        if wait_ms + work_ms > ask.deadline_left_ms {
+        if waiting.is_hopeless(now_ms + wait_ms) {
             self.remember(ask.fingerprint);
             return vec![Outcome::Refused(holder, wait_ms)];
         }
@@ -146,11 +151,10 @@
     /// Refuses those that can no longer be answered in time.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outcome> {
         self.measure_drain(now_ms);
-        let hopeless = |waiting: &Waiting| now_ms + waiting.work_ms > waiting.deadline_at_ms;
         let late: Vec<(Ticket, Entry)> = self
             .waiting
             .iter()
-            .filter(|(_, (_, waiting))| hopeless(waiting))
+            .filter(|(_, (_, waiting))| waiting.is_hopeless(now_ms))
             .map(|(ticket, (entry, _))| (*ticket, *entry))
             .collect();
         let mut outcomes = Vec::new();
@@ -179,9 +183,10 @@
             let Some(ticket) = self.line.next(now_ms) else {
                 break;
             };
-            if let Some((entry, _)) = self.waiting.remove(&ticket) {
+            if let Some((entry, waiting)) = self.waiting.remove(&ticket) {
                 self.tickets.remove(&entry.holder);
                 self.holding.insert(entry.holder, entry.units);
+                self.served_ms.insert(waiting.rank, now_ms);
                 self.left += 1;
                 outcomes.push(Outcome::Granted(entry.holder));
             }
@@ -215,10 +220,26 @@
     fn expected_wait_ms(&self, waiting: &Waiting, now_ms: u64) -> u64 {
         match (self.holding.len() as u64) < self.slots {
             true => 0,
-            false => self.drain_ms(self.line.ahead_of(waiting, now_ms) + 1),
+            false => self
+                .drain_ms(self.line.ahead_of(waiting, now_ms) + 1)
+                .max(self.starved_ms(waiting.rank, now_ms)),
         }
     }
 
+    /// How long requests of a rank have waited without one of them getting a place: a new
+    /// one is expected to wait as long.
+    fn starved_ms(&self, rank: TierRank, now_ms: u64) -> u64 {
+        let same = self
+            .waiting
+            .values()
+            .filter(|(_, waiting)| waiting.rank == rank);
+        let oldest_ms = same.map(|(_, waiting)| waiting.arrived_ms).min();
+        let served_ms = self.served_ms.get(&rank).copied().unwrap_or(0);
+        oldest_ms.map_or(0, |oldest_ms| {
+            now_ms.saturating_sub(oldest_ms.max(served_ms))
+        })
+    }
+
     /// How long it takes until so many have left the line.
     fn drain_ms(&self, count: usize) -> u64 {
         let run_ms = self.work_ms(self.run_units).max(1);
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -10,14 +10,14 @@
     peers::{PeerMessage, Peers},
     roster::{Founding, InstanceAddresses, Roster},
     rpc::*,
-    shares::Demands,
+    shares::{Demands, Pools},
     state::{AcceptedDocument, ControlState},
 };
 use crate::{
     clock,
     consensus::*,
     document::Policy,
-    units::{DocumentVersion, FencingNumber, ProcessName, TargetName},
+    units::{CustomerName, DocumentVersion, FencingNumber, ProcessName, TargetName},
 };
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -86,6 +86,8 @@
     Announce(TargetAnnouncement, Port<()>),
     /// Takes a target out of the directory.
     Withdraw(TargetName, Port<()>),
+    /// Takes units of a customer's quota for a gateway.
+    Borrow(CustomerName, u64, Port<bool>),
     /// Reads a claim.
     ClaimOf(
         super::command::ClaimKey,
@@ -152,6 +154,7 @@
     members: Members,
     directory: Directory,
     demands: Demands,
+    pools: Pools,
     limits: Limits,
     policy: Policy,
     led_term: Term,
@@ -216,6 +219,7 @@
             members: Members::default(),
             directory: Directory::default(),
             demands: Demands::default(),
+            pools: Pools::default(),
             limits: Limits::default(),
             policy: Policy::default(),
             led_term: Term(0),
@@ -259,6 +263,10 @@
                 let taken = state.leading().map(|()| state.withdraw(&target));
                 let _ = port.send(taken);
             }
+            ReplicaMessage::Borrow(customer, units, port) => {
+                let lent = state.leading().map(|()| state.lend(&customer, units));
+                let _ = port.send(lent);
+            }
             ReplicaMessage::ClaimOf(key, port) => {
                 let reply = state.leased().map(|()| state.control.claim(&key).cloned());
                 let _ = port.send(reply);
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -14,6 +14,7 @@
             self.members = Members::default();
             self.directory = Directory::default();
             self.demands = Demands::default();
+            self.pools = Pools::default();
             self.limits = Limits::new(now_ms);
             tracing::info!(term = self.led_term.0, "control: leads");
         }
@@ -135,10 +136,8 @@
 
     /// Hands out parts of the contracts in the document in force.
     pub(super) fn limit(&mut self, entry: &ProcessName, wants: &[LimitWant]) -> Vec<LimitGrant> {
-        let (now_ms, document) = (self.now_ms(), self.control.document());
-        if self.policy.version != document.version {
-            self.policy = Policy::compile(document.version, &document.yaml).unwrap_or_default();
-        }
+        let now_ms = self.now_ms();
+        self.follow_document();
         let (policy, limits) = (&self.policy, &mut self.limits);
         let grants = wants.iter().filter_map(|want| {
             let contract = policy.contract(&want.customer)?;
@@ -147,6 +146,22 @@
         grants.collect()
     }
 
+    /// Takes units of a customer's quota for a gateway; without a quota there is no bound.
+    pub(super) fn lend(&mut self, customer: &CustomerName, units: u64) -> bool {
+        let now_ms = self.now_ms();
+        self.follow_document();
+        let quota = self.policy.quota(customer);
+        quota.is_none_or(|quota| self.pools.take(customer, quota, units, now_ms))
+    }
+
+    fn follow_document(&mut self) {
+        let document = self.control.document();
+        if self.policy.version != document.version {
+            // Documents were checked before they were accepted.
+            self.policy = Policy::compile(document.version, &document.yaml).unwrap_or_default();
+        }
+    }
+
     /// What a process lacks, and whether it lacks anything.
     pub(super) fn reply_to(&self, request: &SyncRequest, arrived_ms: u64) -> (SyncReply, bool) {
         let document = self.control.document();
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -177,6 +177,10 @@
     async fn limits(&self, entry: ProcessName, wants: Vec<LimitWant>)
     -> RpcResult<Vec<LimitGrant>>;
 
+    /// Takes units of a customer's quota for a gateway; tells whether there were enough.
+    #[method(name = "borrow")]
+    async fn borrow(&self, customer: CustomerName, units: u64) -> RpcResult<bool>;
+
     /// Changes the state that a target is to be in.
     #[method(name = "order")]
     async fn order(&self, target: TargetName, order: Order) -> RpcResult<()>;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -300,6 +300,11 @@
             .await
     }
 
+    async fn borrow(&self, customer: CustomerName, units: u64) -> RpcResult<bool> {
+        self.ask(|port| ReplicaMessage::Borrow(customer, units, port))
+            .await
+    }
+
     async fn order(&self, target: TargetName, order: Order) -> RpcResult<()> {
         self.propose(Command::Order { target, order })
             .await
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -4,14 +4,19 @@
 //! that, with a part divided evenly so that a gateway that had no demand can begin. A
 //! gateway keeps its last share while there is no leader, so the sum stays whole.
 
-use crate::{derives::record, units::*};
+use crate::{derives::record, document::QuotaPolicy, units::*};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The part of each quota that is divided evenly, in thousandths: a quarter leaves a
-/// gateway without demand room to begin, and takes little from those that need it.
+/// The part of a service's places that is divided evenly, in thousandths: a quarter leaves
+/// a gateway without demand room to begin, and takes little from those that need it.
 const EVEN_PER_MILLE: u64 = 250;
+/// The part of each quota that stays with the leader, in thousandths, for gateways whose
+/// own part does not suffice: callers come in clumps, and each stays with one gateway.
+const POOL_PER_MILLE: u64 = 300;
 /// A whole, in millionths.
 pub const WHOLE_PPM: u64 = 1_000_000;
+/// What stays with the leader of each quota, in millionths.
+pub const POOL_PPM: u64 = WHOLE_PPM * POOL_PER_MILLE / 1000;
 
 record! {
     /// What a gateway was asked for lately.
@@ -103,7 +108,7 @@
             let others = all().filter(|(name, _)| *name != gateway);
             let held_ppm: u64 = others.map(|(_, demand)| demand.held_ppm).sum();
             // What others still go by is not given twice.
-            let free_ppm = WHOLE_PPM.saturating_sub(held_ppm);
+            let free_ppm = (WHOLE_PPM - POOL_PPM).saturating_sub(held_ppm);
             (
                 customer.clone(),
                 share_ppm(wanted, wanted_by_all, gateways).min(free_ppm),
@@ -123,6 +128,49 @@
     }
 }
 
+/// What stays with the leader of each quota, as buckets that refill.
+#[derive(Default)]
+pub struct Pools(BTreeMap<CustomerName, Pool>);
+
+#[derive(Default)]
+struct Pool {
+    milli_units: u64,
+    filled_ms: u64,
+}
+
+impl Pools {
+    /// Takes units for a gateway; returns whether there were enough.
+    pub fn take(
+        &mut self,
+        customer: &CustomerName,
+        quota: QuotaPolicy,
+        units: u64,
+        now_ms: u64,
+    ) -> bool {
+        let rate_per_s = quota.rate_per_s * POOL_PPM / WHOLE_PPM;
+        let most_milli = quota.burst * POOL_PPM / WHOLE_PPM * 1000;
+        let pool = self.0.entry(customer.clone()).or_insert(Pool {
+            milli_units: 0,
+            filled_ms: now_ms,
+        });
+        let filled_milli = (now_ms - pool.filled_ms).saturating_mul(rate_per_s);
+        pool.milli_units = (pool.milli_units + filled_milli).min(most_milli);
+        pool.filled_ms = now_ms;
+        let left = pool.milli_units.checked_sub(units * 1000);
+        pool.milli_units = left.unwrap_or(pool.milli_units);
+        left.is_some()
+    }
+}
+
+/// A gateway's own part of a quota, in millionths.
+pub fn quota_share_ppm(wanted: u64, wanted_by_all: u64, gateways: u64) -> u64 {
+    let divided = u128::from(WHOLE_PPM - POOL_PPM);
+    match wanted_by_all {
+        0 => divided as u64 / gateways.max(1),
+        all => (divided * u128::from(wanted) / u128::from(all)) as u64,
+    }
+}
+
 /// A gateway's part of a whole, in millionths.
 pub fn share_ppm(wanted: u64, wanted_by_all: u64, gateways: u64) -> u64 {
     let even_ppm = WHOLE_PPM * EVEN_PER_MILLE / 1000 / gateways.max(1);
--- a/src/document.rs
+++ b/src/document.rs
@@ -88,6 +88,8 @@
     pub objective_ms: u64,
     /// The longest pause between events that is of full value; 0 if none is stated.
     pub pause_ms: u64,
+    /// How long callers wait for the next event before they leave; `None` if not stated.
+    pub silence_ms: Option<u64>,
     /// Its tier's rank.
     pub rank: TierRank,
     /// How many targets one request may be sent to.
@@ -161,6 +163,7 @@
     models: HashMap<String, ServiceName>,
     customers: HashMap<[u8; 8], Vec<CustomerPolicy>>,
     contracts: HashMap<CustomerName, ContractPolicy>,
+    quotas: HashMap<CustomerName, QuotaPolicy>,
     has_customers: bool,
     rules: Vec<types::Rule>,
     routes: HashMap<String, Vec<Arc<RoutePolicy>>>,
@@ -225,6 +228,9 @@
                 plain_tokens: quota.plain_tokens,
             });
             let quota = quota.filter(|quota| quota.rate_per_s > 0);
+            if let Some(quota) = quota {
+                policy.quotas.insert(name.clone(), quota);
+            }
             if let Some(contract) = contract {
                 policy.contracts.insert(name.clone(), contract);
             }
@@ -300,6 +306,11 @@
         self.contracts.get(customer).copied()
     }
 
+    /// The quota of a customer, if it has one.
+    pub fn quota(&self, customer: &CustomerName) -> Option<QuotaPolicy> {
+        self.quotas.get(customer).copied()
+    }
+
     /// The name of a tier; its rank if the document has none of that rank.
     pub fn tier_name(&self, rank: TierRank) -> TierName {
         let tier = self.tiers.values().find(|tier| tier.rank == rank);
@@ -371,6 +382,7 @@
         timeout_ms: route.timeout_ms.get(),
         objective_ms: route.objective_ms,
         pause_ms: route.pause_ms,
+        silence_ms: Some(route.silence_ms).filter(|silence_ms| *silence_ms > 0),
         rank,
         max_targets: route.max_targets.get(),
         public: route.public,
--- a/src/document_types.rs
+++ b/src/document_types.rs
@@ -309,6 +309,9 @@
     #[doc = "Whether requests share parts of their prompts."]
     #[serde(default)]
     pub shares_prefixes: bool,
+    #[doc = "How long callers wait for the next event of a stream before they leave; 0 means until their deadline."]
+    #[serde(default)]
+    pub silence_ms: u64,
     #[doc = "Whether the answer is a stream of events."]
     pub streams: bool,
     #[doc = "Where the requests go."]
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -12,6 +12,7 @@
 };
 use crate::{
     clock,
+    control::{ControlClient, rpc::ControlRpcClient},
     document::Repeat,
     entry::refusal::Refusal,
     units::*,
@@ -38,6 +39,8 @@
 const FIRST_EVENT_OBJECTIVES: u64 = 2;
 /// And no less than this: shorter waits are ordinary under load.
 const FIRST_EVENT_MS: u64 = 1500;
+/// How long the leader may take to lend: a caller waits meanwhile.
+const BORROW_MS: u64 = 100;
 /// The advice when to come back after a failure that no wait mends.
 const RETRY_AFTER_MS: u64 = 250;
 
@@ -51,6 +54,8 @@
     pub connections: Connections,
     /// The budget of repeats.
     pub repeats: Mutex<Repeats>,
+    /// The control group, which lends what quotas have left.
+    pub control: Arc<ControlClient>,
     /// Customers' quotas.
     pub quotas: Mutex<Quotas>,
 }
@@ -99,7 +104,7 @@
     /// # Errors
     /// Fails with a refusal that tells whether it may have run.
     pub async fn serve(self: &Arc<Self>, inbound: Arc<Inbound>) -> Result<Answer<D>, Refusal> {
-        self.admit(&inbound)?;
+        self.admit(&inbound).await?;
         self.repeats().count(&inbound.service, clock::boot_ms());
         let mut progress = Progress::default();
         let answer = self.attempt(&inbound, &mut progress).await;
@@ -139,18 +144,40 @@
         }
     }
 
-    /// Admits a request within its customer's quota.
-    fn admit(&self, inbound: &Inbound) -> Result<(), Refusal> {
+    /// Admits a request within its customer's quota: by this gateway's part of it, or by
+    /// what the leader has left.
+    async fn admit(&self, inbound: &Inbound) -> Result<(), Refusal> {
         let Some((customer, quota)) = inbound.customer.as_ref().and_then(|c| Some((c, c.quota?)))
         else {
             return Ok(());
         };
         let (units, now_ms) = (inbound.quota_units(), clock::boot_ms());
         let taken = self.quotas().take(&customer.name, quota, units, now_ms);
-        taken.map_err(|wait_ms| {
-            let message = format!("the quota of {} allows no more at present", customer.name);
-            Refusal::not_run(Reason::OverLimit, message).retry_after(wait_ms.max(1))
-        })
+        let Err(wait_ms) = taken else {
+            return Ok(());
+        };
+        let may_borrow = self.quotas().may_borrow(&customer.name, now_ms);
+        if may_borrow && self.borrow(&customer.name, units).await {
+            return Ok(());
+        }
+        let message = format!("the quota of {} allows no more at present", customer.name);
+        Err(Refusal::not_run(Reason::OverLimit, message).retry_after(wait_ms.max(1)))
+    }
+
+    /// Asks the leader for units of a quota.
+    async fn borrow(&self, customer: &CustomerName, units: u64) -> bool {
+        let lent = self.control.call(BORROW_MS, BORROW_MS, |client| {
+            let customer = customer.clone();
+            async move { client.borrow(customer, units).await }
+        });
+        let lent = lent.await.unwrap_or_else(|error| {
+            tracing::warn!(%customer, units, %error, "gateway: quota not borrowed");
+            false
+        });
+        if !lent {
+            self.quotas().note_empty(customer, clock::boot_ms());
+        }
+        lent
     }
 
     /// Whether the request may be sent once more; fails with what it has come to otherwise.
@@ -299,6 +326,7 @@
             rank: inbound.rank,
             arrived_ms: inbound.arrived_ms,
             objective_at_ms: inbound.arrived_ms + inbound.route.objective_ms,
+            begin_by_ms: inbound.begin_by_ms(),
             deadline_at_ms: inbound.due_ms,
             work_ms: 0,
             came_back: false,
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -26,6 +26,9 @@
 /// The advice when to come back to a gateway that knows no document yet, or not for sure.
 const RETRY_AFTER_MS: u64 = 500;
 
+/// How long a first event takes on its way and in its target, roughly.
+const BEGIN_MARGIN_MS: u64 = 200;
+
 /// A request, ready to be sent.
 pub struct Inbound {
     /// The caller's id of it, or one that was drawn.
@@ -133,6 +136,13 @@
         self.due_ms.saturating_sub(clock::boot_ms())
     }
 
+    /// When its caller leaves if nothing has come.
+    pub fn begin_by_ms(&self) -> u64 {
+        let silence_ms = self.route.silence_ms.unwrap_or(u64::MAX);
+        let leaves_ms = self.arrived_ms.saturating_add(silence_ms);
+        leaves_ms.saturating_sub(BEGIN_MARGIN_MS).min(self.due_ms)
+    }
+
     /// The units of its customer's quota that it counts as.
     pub fn quota_units(&self) -> u64 {
         let quota = self.customer.as_ref().and_then(|customer| customer.quota);
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -1,7 +1,7 @@
 //! A gateway's part of each customer's quota, as a bucket that refills.
 
 use crate::{
-    control::shares::{QuotaDemand, Shares, WHOLE_PPM, share_ppm},
+    control::shares::{QuotaDemand, Shares, WHOLE_PPM, quota_share_ppm},
     document::QuotaPolicy,
     units::CustomerName,
 };
@@ -12,6 +12,8 @@
 /// The part of the slack that is used, in percent; the rest covers what changes hands
 /// between gateways.
 const SLACK_PERCENT: u64 = 50;
+/// How long the leader is not asked again for a quota that it had no more of.
+const EMPTY_MS: u64 = 50;
 /// How long demand is averaged over.
 const DEMAND_MS: u64 = 1000;
 
@@ -24,6 +26,7 @@
     asked_since_ms: u64,
     demand_per_s: u64,
     started: bool,
+    empty_until_ms: u64,
 }
 
 /// The buckets of one gateway.
@@ -81,6 +84,19 @@
         }
     }
 
+    /// Whether the leader may be asked for more of a customer's quota; not again shortly
+    /// after it had none.
+    pub fn may_borrow(&self, customer: &CustomerName, now_ms: u64) -> bool {
+        let bucket = self.buckets.get(customer);
+        bucket.is_none_or(|bucket| now_ms >= bucket.empty_until_ms)
+    }
+
+    /// Notes that the leader had no more of a customer's quota.
+    pub fn note_empty(&mut self, customer: &CustomerName, now_ms: u64) {
+        let bucket = self.buckets.entry(customer.clone()).or_default();
+        bucket.empty_until_ms = now_ms + EMPTY_MS;
+    }
+
     /// Gives back units of a request that did not run.
     pub fn give_back(&mut self, customer: &CustomerName, units: u64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
@@ -111,7 +127,7 @@
             .as_ref()
             .and_then(|shares| shares.customers.get(customer));
         told.copied()
-            .unwrap_or_else(|| share_ppm(0, 0, self.gateways()))
+            .unwrap_or_else(|| quota_share_ppm(0, 0, self.gateways()))
     }
 }
 
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -14,9 +14,11 @@
 /// How long an agent may be silent before another is asked too: some round trips.
 const SILENT_MS: u64 = 30;
 /// How often a request that waits asks one more agent.
-const WIDEN_MS: u64 = 40;
+const WIDEN_MS: u64 = 25;
+/// At how many agents a request waits at once when the first one has no place free.
+const FIRST_PLACES: usize = 3;
 /// At how many agents a request waits at most.
-const MOST_PLACES: usize = 8;
+const MOST_PLACES: usize = 12;
 /// How many refusals in a row settle that there is no place: agents of a service have
 /// lines of about the same length, as requests wait at several.
 const ENOUGH_REFUSALS: usize = 4;
@@ -84,7 +86,7 @@
             let left_ms = self
                 .want
                 .waiting
-                .deadline_at_ms
+                .begin_by_ms
                 .saturating_sub(clock::boot_ms());
             if left_ms == 0 {
                 return Found::Refused(self.shortest_ms.unwrap_or_default());
@@ -100,9 +102,7 @@
                 Ok(Some((number, Said::Queued(wait_ms)))) => {
                     self.note(number, wait_ms.max(1));
                     patience_ms = WIDEN_MS;
-                    if self.open.len() < 2 {
-                        self.ask_next(&events);
-                    }
+                    while self.open.len() < FIRST_PLACES && self.ask_next(&events) {}
                 }
                 Ok(Some((number, Said::Refused(wait_ms)))) => {
                     self.note(number, wait_ms.max(1));
@@ -141,6 +141,7 @@
             rank: waiting.rank,
             waited_ms: now_ms.saturating_sub(waiting.arrived_ms),
             objective_left_ms: waiting.objective_at_ms.saturating_sub(now_ms),
+            begin_left_ms: waiting.begin_by_ms.saturating_sub(now_ms),
             deadline_left_ms: waiting.deadline_at_ms.saturating_sub(now_ms),
             work_units: self.want.work_units,
             fingerprint: self.want.fingerprint,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -104,7 +104,7 @@
             target: None,
         };
         let client = Arc::new(ControlClient::new(settings.control_addresses()));
-        let view = Arc::new(ControlView::spawn(client, member));
+        let view = Arc::new(ControlView::spawn(Arc::clone(&client), member));
         let targets = Targets::new(
             Arc::clone(&view),
             settings.failure_domain.clone(),
@@ -113,6 +113,7 @@
         let attempts = Arc::new(Attempts {
             dialect,
             targets,
+            control: client,
             connections: Connections::default(),
             repeats: Repeats::new(settings.repeats).into(),
             quotas: Quotas::new(settings.quota_slack_units).into(),
@@ -185,6 +186,7 @@
         if let Some(shares) = shares {
             attempts.targets.set_shares(shares.as_ref().clone());
         }
+        attempts.targets.wake_all();
         let services = attempts.targets.demand();
         shared.view.report_demand(Demand {
             customers,
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -208,6 +208,9 @@
     /// Finds a place by this gateway's part of all places.
     async fn place_shared(self: &Arc<Self>, want: &Want<'_>) -> Result<Place, Refusal> {
         let now_ms = clock::boot_ms();
+        if self.in_order(&self.state(), want, now_ms).is_empty() {
+            return Err(no_target(want));
+        }
         let waits = {
             let mut state = self.state();
             let line_is_empty = state
@@ -238,10 +241,14 @@
         }
     }
 
-    /// Takes the leader's parts, and lets more go if there is room.
+    /// Takes the leader's parts.
     pub fn set_shares(&self, shares: Shares) {
+        self.state().shares = shares;
+    }
+
+    /// Lets more requests go if there is room, as when targets came or parts grew.
+    pub fn wake_all(&self) {
         let mut state = self.state();
-        state.shares = shares;
         let services: Vec<ServiceName> = state.lines.keys().cloned().collect();
         for service in services {
             self.wake(&mut state, &service);
@@ -385,7 +392,7 @@
         let line = state.lines.entry(want.service.clone()).or_default();
         let wait_ms = line.expected_wait_ms(&want.waiting, now_ms);
         let left_ms = want.waiting.deadline_at_ms.saturating_sub(now_ms);
-        if wait_ms + want.waiting.work_ms > left_ms {
+        if wait_ms > left_ms {
             let message = format!("a wait of {wait_ms} ms is expected and {left_ms} ms are left");
             let refusal = Refusal::not_run(Reason::Shed, message);
             return Err(refusal.retry_after(retry_after_ms(wait_ms)));
--- a/src/gateway/waiting_line.rs
+++ b/src/gateway/waiting_line.rs
@@ -26,7 +26,9 @@
         pub arrived_ms: u64,
         /// When its answer stops being of full value.
         pub objective_at_ms: u64,
-        /// When its caller leaves.
+        /// When its caller leaves if nothing has come.
+        pub begin_by_ms: u64,
+        /// When its caller leaves in any case.
         pub deadline_at_ms: u64,
         /// How long it would take, roughly.
         pub work_ms: u64,
@@ -110,6 +112,11 @@
         (self.rank, late, anew, self.urgency(now_ms), ticket)
     }
 
+    /// Whether its caller would not get the answer if it got a place then.
+    pub fn is_hopeless(&self, placed_ms: u64) -> bool {
+        placed_ms > self.begin_by_ms || placed_ms + self.work_ms > self.deadline_at_ms
+    }
+
     fn is_late(&self, now_ms: u64) -> bool {
         now_ms > self.objective_at_ms
     }
--- a/src/grants.rs
+++ b/src/grants.rs
@@ -26,7 +26,9 @@
         pub waited_ms: u64,
         /// How long its answer is still of full value.
         pub objective_left_ms: u64,
-        /// How long its caller still waits.
+        /// How long its caller still waits for a first event.
+        pub begin_left_ms: u64,
+        /// How long its caller still waits for the whole answer.
         pub deadline_left_ms: u64,
         /// How much work it is; see [`work_units`].
         pub work_units: u64,
