Begin without a leader, and keep the directory over changes of leader

Cause: the worst seconds were those after kills: a restarted gateway knew no document until a leader was elected, a new leader knew no target, and quotas could not be lent.

Change: every replica keeps the latest document and the leader's directory, also beside the log; a gateway that starts takes them from any replica. A new leader begins with the directory. While the leader is away, quotas are taken on credit.

--- a/src/consensus/storage.rs
+++ b/src/consensus/storage.rs
@@ -180,6 +180,20 @@
         write_synced(&self.folder, name, &frame(note)?)
     }
 
+    /// A write of a note that is not synced, to be made on another thread.
+    pub fn note_writer<T: serde::Serialize>(
+        &self,
+        name: &str,
+        note: &T,
+    ) -> impl FnOnce() -> io::Result<()> + Send + 'static {
+        let (path, bytes) = (self.folder.join(name), frame(note));
+        move || {
+            let temporary = path.with_extension("tmp");
+            fs::write(&temporary, bytes?)?;
+            fs::rename(temporary, path)
+        }
+    }
+
     /// Reads a note; `None` if there is none or it cannot be read.
     pub fn read_note<T: serde::de::DeserializeOwned>(&self, name: &str) -> Option<T> {
         let path = self.folder.join(name);
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -73,6 +73,27 @@
 }
 
 impl Directory {
+    /// A directory that begins with what was known before a change of leader or a restart.
+    /// What is not announced again runs out as usual.
+    pub fn seeded(targets: Vec<TargetAnnouncement>, now_ms: u64) -> Self {
+        let mut directory = Self::default();
+        for target in targets {
+            directory.announce(target, now_ms);
+        }
+        directory
+    }
+
+    /// Every target with its latest sequence number, to begin another directory with.
+    pub fn copy(&self) -> Vec<TargetAnnouncement> {
+        let sequence = |name| self.latest.get(name).map_or(0, |order| order.sequence);
+        let targets = self.table.values();
+        let copies = targets.map(|entry| TargetAnnouncement {
+            sequence: sequence(&entry.name),
+            entry: entry.clone(),
+        });
+        copies.collect()
+    }
+
     /// Takes an announcement; returns whether readers see a difference.
     pub fn announce(&mut self, announcement: TargetAnnouncement, now_ms: u64) -> bool {
         let TargetAnnouncement { entry, sequence } = announcement;
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -1,6 +1,6 @@
 //! Links between control instances.
 
-use super::{replica::ReplicaMessage, roster::Presence};
+use super::{directory::TargetAnnouncement, replica::ReplicaMessage, roster::Presence};
 use crate::{
     accept,
     consensus::{Message, ReplicaId, Snapshot},
@@ -28,6 +28,8 @@
         Present(Presence),
         /// Founds the group.
         Found { snapshot: Snapshot },
+        /// The leader's directory of targets, for whoever leads next.
+        Directory(Vec<TargetAnnouncement>),
         /// A message of the replicated log.
         Core { from: ReplicaId, to: ReplicaId, message: Message },
     }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -50,6 +50,10 @@
 const DISK_PATIENCE_MS: u64 = 60_000;
 /// The name of the note of other instances' addresses.
 const INSTANCES_NOTE: &str = "instances";
+/// The name of the note of the latest document and targets.
+const KNOWN_NOTE: &str = "known";
+/// How often that note is written at most, and the directory told to the others.
+const KNOWN_INTERVAL_MS: u64 = 250;
 /// How many entries are kept before a snapshot replaces them.
 const LOG_ENTRIES: usize = 256;
 /// How many bytes of commands are kept before a snapshot replaces them.
@@ -80,6 +84,8 @@
     Sync(SyncRequest, Port<SyncReply>),
     /// Hands out parts of customers' contracts.
     Limits(ProcessName, Vec<LimitWant>, Port<Vec<LimitGrant>>),
+    /// Reads what this replica knows, led or not.
+    Peek(Port<PeekReply>),
     /// Reads the document.
     Get(Port<AcceptedDocument>),
     /// Takes what a target says of itself.
@@ -124,6 +130,8 @@
     pub discovery: super::roster::Discovery,
     /// How long a target stays in the directory after its last announcement.
     pub target_lease_ms: u64,
+    /// How far each quota may be passed, in units a second.
+    pub beyond_quota_per_s: u64,
 }
 
 struct Waiting {
@@ -147,12 +155,19 @@
     peers: Peers,
     roster: Roster,
     target_lease_ms: u64,
+    beyond_quota_per_s: u64,
     announced_ms: u64,
     founding: bool,
     batch: Vec<(Command, Port<Reply>)>,
     pending: BTreeMap<LogIndex, (Term, Port<Reply>)>,
     members: Members,
     directory: Directory,
+    /// What is known apart from the log: served without a leader, kept over a restart.
+    known: PeekReply,
+    known_changed: bool,
+    known_kept_ms: u64,
+    spread: Option<directory::TargetsSeen>,
+    spread_ms: u64,
     demands: Demands,
     pools: Pools,
     limits: Limits,
@@ -193,6 +208,7 @@
         let last_index = log.last_index();
         tracing::info!("control: replica {id} starts at entry {last_index}");
         let may_found = identity.may_found && last_index == LogIndex(0);
+        let storage_note = storage.read_note(KNOWN_NOTE);
         let known = storage.read_note(INSTANCES_NOTE).unwrap_or_default();
         let roster = Roster::new(
             id,
@@ -212,12 +228,18 @@
             peers,
             roster,
             target_lease_ms: identity.target_lease_ms,
+            beyond_quota_per_s: identity.beyond_quota_per_s,
             announced_ms: 0,
             founding: false,
             batch: Vec::new(),
             pending: BTreeMap::new(),
             members: Members::default(),
             directory: Directory::default(),
+            known: storage_note.unwrap_or_default(),
+            known_changed: false,
+            known_kept_ms: 0,
+            spread: None,
+            spread_ms: 0,
             demands: Demands::default(),
             pools: Pools::default(),
             limits: Limits::default(),
@@ -251,6 +273,9 @@
             ReplicaMessage::Limits(entry, wants, port) => {
                 let _ = port.send(state.leased().map(|()| state.limit(&entry, &wants)));
             }
+            ReplicaMessage::Peek(port) => {
+                let _ = port.send(Ok(state.known.clone()));
+            }
             ReplicaMessage::Get(port) => {
                 let reply = state.leased().map(|()| state.control.document().clone());
                 let _ = port.send(reply);
@@ -355,6 +380,7 @@
             self.apply(entry)?;
         }
         if self.control.document().version > version_before {
+            self.know_document();
             self.answer_waiting();
         }
         Ok(refused)
@@ -386,6 +412,7 @@
             let presence = self.roster.presence(in_group, leads);
             self.peers.broadcast(&PeerMessage::Present(presence));
         }
+        self.keep_known(now_ms);
         self.found()?;
         self.compact()?;
         if self.core.role() == RoleName::Leader {
@@ -411,6 +438,10 @@
             PeerMessage::Found { snapshot } => {
                 self.step(Input::Found(snapshot))?;
             }
+            PeerMessage::Directory(targets) => {
+                self.known_changed |= self.known.targets != targets;
+                self.known.targets = targets;
+            }
             PeerMessage::Core { from, to, message } if to == self.core.id() => {
                 self.step(Input::Receive { from, message })?;
             }
@@ -438,6 +469,30 @@
         Ok(())
     }
 
+    /// Notes the document in force; it is committed.
+    fn know_document(&mut self) {
+        if self.control.document().version > self.known.document.version {
+            self.known.document = self.control.document().clone();
+            self.known_changed = true;
+        }
+    }
+
+    /// Keeps what is known on disk, on another thread as the disk may stall. It is not
+    /// synced: nothing depends on it but how soon service begins after a restart.
+    fn keep_known(&mut self, now_ms: u64) {
+        if !self.known_changed || now_ms < self.known_kept_ms + KNOWN_INTERVAL_MS {
+            return;
+        }
+        self.known_changed = false;
+        self.known_kept_ms = now_ms;
+        let write = self.storage.note_writer(KNOWN_NOTE, &self.known);
+        tokio::task::spawn_blocking(move || {
+            if let Err(error) = write() {
+                tracing::debug!(%error, "control: latest document and targets not kept on disk");
+            }
+        });
+    }
+
     /// Founds the group once all its founders are present and none belongs to one.
     fn found(&mut self) -> Result<(), ActorProcessingErr> {
         if !self.core.membership().is_empty() {
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -12,9 +12,9 @@
             self.settled = false;
             self.directory_settled = false;
             self.members = Members::default();
-            self.directory = Directory::default();
+            self.directory = Directory::seeded(self.known.targets.clone(), now_ms);
             self.demands = Demands::default();
-            self.pools = Pools::default();
+            self.pools = Pools::new(self.beyond_quota_per_s);
             self.limits = Limits::new(now_ms);
             tracing::info!(term = self.led_term.0, "control: leads");
         }
@@ -36,6 +36,7 @@
         let directory_settles = !self.directory_settled && led_ms > directory::SETTLING_MS;
         self.settled |= settles;
         self.directory_settled |= directory_settles;
+        self.spread_directory(now_ms);
         if settles || directory_settles || !gone.is_empty() || !lost.is_empty() {
             self.answer_waiting();
         }
@@ -62,6 +63,21 @@
         Ok(())
     }
 
+    /// Tells the other replicas the directory, for whoever leads next.
+    fn spread_directory(&mut self, now_ms: u64) {
+        let epoch = (FencingNumber(self.led_term.0), true);
+        let changes = self.directory.changes(self.spread.as_ref(), epoch);
+        let Some(changes) = changes.filter(|_| now_ms >= self.spread_ms + KNOWN_INTERVAL_MS) else {
+            return;
+        };
+        self.spread = Some(changes.seen);
+        self.spread_ms = now_ms;
+        self.known.targets = self.directory.copy();
+        self.known_changed = true;
+        let targets = self.known.targets.clone();
+        self.peers.broadcast(&PeerMessage::Directory(targets));
+    }
+
     /// Takes an announcement of a target.
     pub(super) fn announce(&mut self, announcement: TargetAnnouncement) {
         let now_ms = self.now_ms();
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -2,7 +2,7 @@
 
 use super::{
     command::{Claim, ClaimKey, ClaimedAttempt, Outcome},
-    directory::{TargetChanges, TargetEntry, TargetsSeen},
+    directory::{TargetAnnouncement, TargetChanges, TargetEntry, TargetsSeen},
     limits::{LimitGrant, LimitWant},
     members::*,
     orders::{Order, TargetOrders},
@@ -43,6 +43,7 @@
     }
 
     /// What a process lacks.
+    #[derive(Default)]
     pub struct SyncReply {
         /// How long the leader held the request back, in milliseconds: the reply is
         /// of that much later, at the least, than when the request was sent.
@@ -63,6 +64,15 @@
         pub control: Vec<std::net::SocketAddr>,
     }
 
+    /// What any replica knows for itself: committed, but perhaps not the latest.
+    #[derive(Default)]
+    pub struct PeekReply {
+        /// The document; version 0 if none is known.
+        pub document: AcceptedDocument,
+        /// The targets.
+        pub targets: Vec<TargetAnnouncement>,
+    }
+
     /// The answer to a change of the document.
     pub enum ApplyReply {
         /// It is accepted.
@@ -144,6 +154,11 @@
         source: String,
     ) -> RpcResult<DocumentVersion>;
 
+    /// Reads what any replica knows, led or not: for a process that has just started and
+    /// knows nothing.
+    #[method(name = "peek")]
+    async fn peek(&self) -> RpcResult<PeekReply>;
+
     /// Reads the document in force.
     #[method(name = "get")]
     async fn get(&self) -> RpcResult<AcceptedDocument>;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -240,6 +240,10 @@
         }
     }
 
+    async fn peek(&self) -> RpcResult<PeekReply> {
+        self.ask(ReplicaMessage::Peek).await
+    }
+
     async fn get(&self) -> RpcResult<AcceptedDocument> {
         self.ask(ReplicaMessage::Get).await
     }
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -130,7 +130,10 @@
 
 /// What stays with the leader of each quota, as buckets that refill.
 #[derive(Default)]
-pub struct Pools(BTreeMap<CustomerName, Pool>);
+pub struct Pools {
+    pools: BTreeMap<CustomerName, Pool>,
+    beyond_per_s: u64,
+}
 
 #[derive(Default)]
 struct Pool {
@@ -139,6 +142,15 @@
 }
 
 impl Pools {
+    /// Empty buckets. `beyond_per_s` is how far each quota may be passed, as the operator
+    /// tolerates it.
+    pub fn new(beyond_per_s: u64) -> Self {
+        Self {
+            beyond_per_s,
+            ..Self::default()
+        }
+    }
+
     /// Takes units for a gateway; returns whether there were enough.
     pub fn take(
         &mut self,
@@ -147,9 +159,9 @@
         units: u64,
         now_ms: u64,
     ) -> bool {
-        let rate_per_s = quota.rate_per_s * POOL_PPM / WHOLE_PPM;
+        let rate_per_s = quota.rate_per_s * POOL_PPM / WHOLE_PPM + self.beyond_per_s;
         let most_milli = quota.burst * POOL_PPM / WHOLE_PPM * 1000;
-        let pool = self.0.entry(customer.clone()).or_insert(Pool {
+        let pool = self.pools.entry(customer.clone()).or_insert(Pool {
             milli_units: 0,
             filled_ms: now_ms,
         });
--- a/src/control/table.rs
+++ b/src/control/table.rs
@@ -8,6 +8,7 @@
 
 record! {
     /// How far a reader has followed a table.
+    #[derive(Default)]
     pub struct Seen {
         /// The leader's term, and whether its table had settled.
         pub epoch: (FencingNumber, bool),
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -9,11 +9,12 @@
     clock,
     control::{
         ControlClient,
-        directory::{TargetEntry, TargetsSeen},
+        directory::{TargetChanges, TargetEntry, TargetsSeen},
         members::*,
         orders::TargetOrders,
         rpc::*,
         shares::{Demand, Shares},
+        table::Seen,
     },
     document::Policy,
     threads,
@@ -35,6 +36,8 @@
 const RENEWAL_WAIT_MS: u64 = 800;
 /// How long one renewal may take.
 const RENEWAL_TIMEOUT_MS: u64 = 1500;
+/// How long a look at what any control instance knows may take.
+const PEEK_MS: u64 = 300;
 /// How long a goodbye may take.
 const GOODBYE_TIMEOUT_MS: u64 = 1000;
 
@@ -197,7 +200,11 @@
 impl Renewing {
     async fn run(mut self, keeper: ActorRef<Renewed>) {
         let mut lost = false;
+        let mut peeked = self.announced.borrow().role != ProcessRole::Gateway;
         loop {
+            if !peeked && self.view.load().policy.version == DocumentVersion(0) {
+                peeked = self.peek(&keeper).await;
+            }
             let member = self.announced.borrow_and_update().clone();
             let sent_ms = clock::boot_ms();
             let demand = self.demand.lock().expect("no holder panics").clone();
@@ -225,7 +232,7 @@
                     self.client.learn(&reply.control);
                     let _ = ractor::call!(keeper, |done| Renewed {
                         reply,
-                        sent_ms,
+                        sent_ms: Some(sent_ms),
                         done
                     });
                 }
@@ -239,10 +246,47 @@
     }
 }
 
+impl Renewing {
+    /// Takes what any control instance knows, so that service begins without a leader.
+    /// Returns whether one knew anything.
+    async fn peek(&self, keeper: &ActorRef<Renewed>) -> bool {
+        let peek = self.client.call(
+            PEEK_MS,
+            PEEK_MS,
+            |client| async move { client.peek().await },
+        );
+        let Ok(known) = peek.await else {
+            return false;
+        };
+        if known.document.version == DocumentVersion(0) {
+            return false;
+        }
+        let targets = known.targets.into_iter().map(|target| target.entry);
+        let reply = SyncReply {
+            document: Some(known.document),
+            targets: Some(TargetChanges {
+                seen: Seen::default(),
+                whole: true,
+                present: targets.collect(),
+                removed: Vec::new(),
+            }),
+            ..SyncReply::default()
+        };
+        let _ = ractor::call!(keeper, |done| Renewed {
+            reply,
+            sent_ms: None,
+            done
+        });
+        tracing::info!("view: begins with what a control instance knew");
+        true
+    }
+}
+
 /// A reply to merge into the view.
 struct Renewed {
     reply: SyncReply,
-    sent_ms: u64,
+    /// When it was asked for; `None` if the view is not renewed by it.
+    sent_ms: Option<u64>,
     done: ractor::RpcReplyPort<()>,
 }
 
@@ -277,7 +321,9 @@
         let mut next = View::clone(&view.load());
         let held_ms = reply.held_ms.min(RENEWAL_WAIT_MS);
         if reply.fencing >= next.fencing && merge(&mut next, reply) {
-            next.valid_until_ms = sent_ms + held_ms + VIEW_LEASE_MS;
+            if let Some(sent_ms) = sent_ms {
+                next.valid_until_ms = sent_ms + held_ms + VIEW_LEASE_MS;
+            }
             let version = next.policy.version;
             view.store(Arc::new(next));
             versions.send_if_modified(|known| std::mem::replace(known, version) != version);
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -66,6 +66,7 @@
         failure_domain: "dev".into(),
         peers: vec![own],
         discovery: None,
+        quota_tolerance: QuotaTolerance::default(),
         data_folder: folder.0.clone(),
         console: Some(ConsoleSettings {
             listen: loopback(0),
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock,
     control::{ControlClient, rpc::ControlRpcClient},
-    document::Repeat,
+    document::{QuotaPolicy, Repeat},
     entry::refusal::Refusal,
     units::*,
     verdict::{Reason, Verdict},
@@ -22,7 +22,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 use tokio::time::timeout;
@@ -41,6 +44,8 @@
 const FIRST_EVENT_MS: u64 = 1500;
 /// How long the leader may take to lend: a caller waits meanwhile.
 const BORROW_MS: u64 = 100;
+/// How long a leader that did not answer is not asked again.
+const LEADER_AWAY_MS: u64 = 300;
 /// The advice when to come back after a failure that no wait mends.
 const RETRY_AFTER_MS: u64 = 250;
 
@@ -56,6 +61,8 @@
     pub repeats: Mutex<Repeats>,
     /// The control group, which lends what quotas have left.
     pub control: Arc<ControlClient>,
+    /// Until when the leader is not asked, as it did not answer.
+    pub leader_away_until_ms: AtomicU64,
     /// Customers' quotas.
     pub quotas: Mutex<Quotas>,
 }
@@ -157,27 +164,43 @@
             return Ok(());
         };
         let may_borrow = self.quotas().may_borrow(&customer.name, now_ms);
-        if may_borrow && self.borrow(&customer.name, units).await {
+        if may_borrow && self.borrow(&customer.name, quota, units).await {
             return Ok(());
         }
+        let (share_ppm, left_units) = self.quotas().standing(&customer.name);
+        tracing::info!(
+            request = inbound.id, customer = %customer.name, units, rate_per_s = quota.rate_per_s,
+            share_ppm, left_units, asked_leader = may_borrow, "gateway: over quota"
+        );
         let message = format!("the quota of {} allows no more at present", customer.name);
         Err(Refusal::not_run(Reason::OverLimit, message).retry_after(wait_ms.max(1)))
     }
 
     /// Asks the leader for units of a quota.
-    async fn borrow(&self, customer: &CustomerName, units: u64) -> bool {
+    async fn borrow(&self, customer: &CustomerName, quota: QuotaPolicy, units: u64) -> bool {
+        let now_ms = clock::boot_ms();
+        if now_ms < self.leader_away_until_ms.load(Ordering::Relaxed) {
+            return self.quotas().take_on_credit(customer, quota, units);
+        }
         let lent = self.control.call(BORROW_MS, BORROW_MS, |client| {
             let customer = customer.clone();
             async move { client.borrow(customer, units).await }
         });
-        let lent = lent.await.unwrap_or_else(|error| {
-            tracing::warn!(%customer, units, %error, "gateway: quota not borrowed");
-            false
-        });
-        if !lent {
-            self.quotas().note_empty(customer, clock::boot_ms());
+        match lent.await {
+            Ok(true) => true,
+            Ok(false) => {
+                self.quotas().note_empty(customer, clock::boot_ms());
+                false
+            }
+            Err(error) => {
+                let away_until_ms = clock::boot_ms() + LEADER_AWAY_MS;
+                self.leader_away_until_ms
+                    .store(away_until_ms, Ordering::Relaxed);
+                let taken = self.quotas().take_on_credit(customer, quota, units);
+                tracing::info!(%customer, units, %error, taken, "gateway: quota taken on credit");
+                taken
+            }
         }
-        lent
     }
 
     /// Whether the request may be sent once more; fails with what it has come to otherwise.
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -1,7 +1,7 @@
 //! A gateway's part of each customer's quota, as a bucket that refills.
 
 use crate::{
-    control::shares::{QuotaDemand, Shares, WHOLE_PPM, quota_share_ppm},
+    control::shares::{POOL_PPM, QuotaDemand, Shares, WHOLE_PPM, quota_share_ppm},
     document::QuotaPolicy,
     units::CustomerName,
 };
@@ -11,7 +11,7 @@
 const ASSUMED_GATEWAYS: u64 = 8;
 /// The part of the slack that is used, in percent; the rest covers what changes hands
 /// between gateways.
-const SLACK_PERCENT: u64 = 50;
+const SLACK_PERCENT: u64 = 25;
 /// How long the leader is not asked again for a quota that it had no more of.
 const EMPTY_MS: u64 = 50;
 /// How long demand is averaged over.
@@ -27,6 +27,8 @@
     demand_per_s: u64,
     started: bool,
     empty_until_ms: u64,
+    /// Taken on credit while there was no leader.
+    owed_milli: u64,
 }
 
 /// The buckets of one gateway.
@@ -59,6 +61,16 @@
             .unwrap_or(ASSUMED_GATEWAYS)
     }
 
+    /// The part of a customer's quota that this gateway goes by, in millionths, and the
+    /// units that it has left.
+    pub fn standing(&self, customer: &CustomerName) -> (u64, u64) {
+        let bucket = self.buckets.get(customer);
+        (
+            self.share_of(customer),
+            bucket.map_or(0, |bucket| bucket.milli_units / 1000),
+        )
+    }
+
     /// Takes units of a quota, or tells in how many milliseconds there will be enough.
     pub fn take(
         &mut self,
@@ -84,6 +96,24 @@
         }
     }
 
+    /// Takes units while the leader cannot be asked: on credit, up to what the leader would
+    /// have lent at one time. The credit is paid back from this gateway's own part.
+    pub fn take_on_credit(
+        &mut self,
+        customer: &CustomerName,
+        quota: QuotaPolicy,
+        units: u64,
+    ) -> bool {
+        let most_milli = quota.burst.min(quota.rate_per_s) * POOL_PPM / WHOLE_PPM * 1000;
+        let bucket = self.buckets.entry(customer.clone()).or_default();
+        let owed_milli = bucket.owed_milli + units * 1000;
+        let allowed = owed_milli <= most_milli;
+        if allowed {
+            bucket.owed_milli = owed_milli;
+        }
+        allowed
+    }
+
     /// Whether the leader may be asked for more of a customer's quota; not again shortly
     /// after it had none.
     pub fn may_borrow(&self, customer: &CustomerName, now_ms: u64) -> bool {
@@ -134,6 +164,9 @@
 impl Bucket {
     fn fill(&mut self, rate_per_s: u64, most_milli: u64, now_ms: u64) {
         let filled_milli = (now_ms - self.filled_ms.min(now_ms)).saturating_mul(rate_per_s);
+        let repaid_milli = self.owed_milli.min(filled_milli);
+        self.owed_milli -= repaid_milli;
+        let filled_milli = filled_milli - repaid_milli;
         self.milli_units = match self.started {
             true => self
                 .milli_units
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -42,7 +42,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -114,9 +114,10 @@
             dialect,
             targets,
             control: client,
+            leader_away_until_ms: AtomicU64::new(0),
             connections: Connections::default(),
             repeats: Repeats::new(settings.repeats).into(),
-            quotas: Quotas::new(settings.quota_slack_units).into(),
+            quotas: Quotas::new(settings.quota_tolerance.units).into(),
         });
         let shared = Arc::new(Shared {
             view,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -77,9 +77,9 @@
         /// How long it serves on after it turns unready, for the balancer.
         #[serde(default = "default_balancer_delay_ms")]
         pub balancer_delay_ms: u64,
-        /// How far all gateways together may go beyond a customer's quota for a moment.
+        /// See [`QuotaTolerance`].
         #[serde(default)]
-        pub quota_slack_units: u64,
+        pub quota_tolerance: QuotaTolerance,
         /// The budget of repeats over all gateways.
         #[serde(default = "default_repeats")]
         pub repeats: RepeatBounds,
@@ -121,6 +121,17 @@
         pub telemetry: TelemetrySettings,
     }
 
+    /// How far beyond a customer's quota all gateways together may go. A customer is
+    /// refused only beyond that.
+    #[derive(Copy, Default)]
+    #[serde(deny_unknown_fields)]
+    pub struct QuotaTolerance {
+        /// The units beyond rate and burst in any window.
+        pub units: u64,
+        /// The length of a window, in seconds.
+        pub window_s: u64,
+    }
+
     /// One control instance, as the others know it.
     #[serde(deny_unknown_fields)]
     pub struct PeerSettings {
@@ -179,6 +190,9 @@
         /// Where the log is kept. Empty if this instance has no disk: it then refers
         /// callers to the others, or keeps the log in memory where none has a disk.
         pub data_folder: PathBuf,
+        /// See [`QuotaTolerance`].
+        #[serde(default)]
+        pub quota_tolerance: QuotaTolerance,
         /// See [`ConsoleSettings`]; no console if unset.
         #[serde(default)]
         pub console: Option<ConsoleSettings>,
@@ -197,6 +211,9 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, CONSOLE_PORT))
 }
 
+/// The part of what is tolerated beyond a quota that is handed out all the time; the rest
+/// covers what gateways hold at one moment.
+const BEYOND_QUOTA_PERCENT: u64 = 50;
 /// The folder of a replica that has no disk.
 const MEMORY_FOLDER: &str = "/tmp/guavacove-control";
 
@@ -397,6 +414,8 @@
 
     /// What this instance says of itself, and how it finds the others.
     pub fn identity(&self) -> Identity {
+        let QuotaTolerance { units, window_s } = self.quota_tolerance;
+        let beyond_quota_per_s = units * BEYOND_QUOTA_PERCENT / 100 / window_s.max(1);
         let addresses = self.addresses();
         let durable = !self.data_folder.as_os_str().is_empty();
         match &self.discovery {
@@ -409,6 +428,7 @@
                     durable,
                     discovery: Discovery::Seeds(seeds),
                     target_lease_ms: discovery.announcement_ms * LEASE_INTERVALS,
+                    beyond_quota_per_s,
                 }
             }
             None => Identity {
@@ -417,6 +437,7 @@
                 durable,
                 discovery: Discovery::Listed(self.peers.clone()),
                 target_lease_ms: default_announcement_ms() * LEASE_INTERVALS,
+                beyond_quota_per_s,
             },
         }
     }
