--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -23,8 +23,9 @@
             return Ok(());
         }
         let gone = self.members.expire(now_ms);
+        self.demands.expire(now_ms);
         for name in &gone {
-            self.demands.remove(name);
+            self.demands.silence(name);
             tracing::warn!("control: {name} was silent for {MEMBER_LEASE_MS} ms and is out");
         }
         let lost = self.directory.expire(self.target_lease_ms, now_ms);
@@ -125,7 +126,7 @@
             false => {
                 if request.member.role == ProcessRole::Gateway {
                     let (name, demand) = (request.member.name.clone(), request.demand.clone());
-                    self.demands.report(name, demand);
+                    self.demands.report(name, demand, now_ms);
                 }
                 let status = ProcessStatus {
                     member: request.member.clone(),
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -13,6 +13,12 @@
 /// The part of each quota that stays with the leader, in thousandths, for gateways whose
 /// own part does not suffice: callers come in clumps, and each stays with one gateway.
 const POOL_PER_MILLE: u64 = 300;
+/// How long a gateway that does not reach the leader goes by its parts; then by a tenth of
+/// them.
+pub const SHARE_LEASE_MS: u64 = 10_000;
+/// How long the leader gives a silent gateway's parts to nobody else: the lease, and the time
+/// that a renewal may have been on its way.
+const RESERVED_MS: u64 = SHARE_LEASE_MS + 2000;
 /// A whole, in millionths.
 pub const WHOLE_PPM: u64 = 1_000_000;
 /// What stays with the leader of each quota, in millionths.
@@ -60,17 +66,28 @@
 
 /// The demand of all gateways, as of their last renewals.
 #[derive(Default)]
-pub struct Demands(BTreeMap<ProcessName, Demand>);
+pub struct Demands(BTreeMap<ProcessName, Reported>);
+
+struct Reported {
+    demand: Demand,
+    at_ms: u64,
+    is_silent: bool,
+}
 
 impl Demands {
     /// Takes what a gateway reports.
-    pub fn report(&mut self, gateway: ProcessName, demand: Demand) {
-        self.0.insert(gateway, demand);
+    pub fn report(&mut self, gateway: ProcessName, demand: Demand, now_ms: u64) {
+        let reported = Reported {
+            demand,
+            at_ms: now_ms,
+            is_silent: false,
+        };
+        self.0.insert(gateway, reported);
     }
 
     /// Notes the parts that a gateway was told, which it goes by from now on.
     pub fn told(&mut self, gateway: &ProcessName, shares: &Shares) {
-        if let Some(demand) = self.0.get_mut(gateway) {
+        if let Some(Reported { demand, .. }) = self.0.get_mut(gateway) {
             for (customer, held_ppm) in &shares.customers {
                 demand
                     .customers
@@ -81,27 +98,52 @@
         }
     }
 
-    /// Drops a gateway that is gone.
+    /// Drops a gateway that has stopped.
     pub fn remove(&mut self, gateway: &ProcessName) {
         self.0.remove(gateway);
     }
 
+    /// Notes that a gateway is silent. It may be cut off and go on with its parts.
+    pub fn silence(&mut self, gateway: &ProcessName) {
+        if let Some(reported) = self.0.get_mut(gateway) {
+            reported.is_silent = true;
+            reported.demand.services.clear();
+            for demand in reported.demand.customers.values_mut() {
+                demand.units_per_s = 0;
+            }
+        }
+    }
+
+    /// Drops what gateways held that have been silent for long.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.0
+            .retain(|_, reported| !reported.is_silent || now_ms < reported.at_ms + RESERVED_MS);
+    }
+
+    fn demands(&self) -> impl Iterator<Item = (&ProcessName, &Demand)> {
+        self.0
+            .iter()
+            .map(|(name, reported)| (name, &reported.demand))
+    }
+
     /// The parts of one gateway.
     pub fn shares_of(&self, gateway: &ProcessName) -> Shares {
-        let Some(own) = self.0.get(gateway) else {
+        let Some(Reported { demand: own, .. }) = self.0.get(gateway) else {
             return Shares::default();
         };
-        let gateways = self.0.len() as u64;
-        let asked: BTreeSet<&CustomerName> =
-            self.0.values().flat_map(|d| d.customers.keys()).collect();
+        let live = self.0.values().filter(|reported| !reported.is_silent);
+        let gateways = live.count() as u64;
+        let asked: BTreeSet<&CustomerName> = self
+            .demands()
+            .flat_map(|(_, d)| d.customers.keys())
+            .collect();
         let customers = asked.into_iter().map(|customer| {
             let wanted = own
                 .customers
                 .get(customer)
                 .map_or(0, |demand| demand.units_per_s);
             let all = || {
-                self.0
-                    .iter()
+                self.demands()
                     .filter_map(|(name, d)| Some((name, d.customers.get(customer)?)))
             };
             let wanted_by_all = all().map(|(_, demand)| demand.units_per_s).sum();
@@ -115,7 +157,7 @@
             )
         });
         let services = own.services.iter().map(|(service, wanted)| {
-            let all = self.0.values().filter_map(|d| d.services.get(service));
+            let all = self.demands().filter_map(|(_, d)| d.services.get(service));
             let wanted_by_all = all.sum();
             let ppm = share_ppm(*wanted, wanted_by_all, gateways);
             (service.clone(), PlaceShare { ppm, wanted_by_all })
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -13,7 +13,7 @@
         members::*,
         orders::TargetOrders,
         rpc::*,
-        shares::{Demand, Shares},
+        shares::{Demand, SHARE_LEASE_MS, Shares},
         table::Seen,
     },
     document::Policy,
@@ -52,6 +52,8 @@
     pub targets: Arc<BTreeMap<TargetName, TargetEntry>>,
     /// This gateway's parts of quotas and places, as last told.
     pub shares: Option<Arc<Shares>>,
+    /// Until when those parts hold whole.
+    pub shares_until_ms: u64,
     /// The leader's fencing number.
     pub fencing: FencingNumber,
     /// The state that the target beside this process is to be in.
@@ -322,6 +324,7 @@
         let held_ms = reply.held_ms.min(RENEWAL_WAIT_MS);
         if reply.fencing >= next.fencing && merge(&mut next, reply) {
             if let Some(sent_ms) = sent_ms {
+                next.shares_until_ms = sent_ms + SHARE_LEASE_MS;
                 next.valid_until_ms = sent_ms + held_ms + VIEW_LEASE_MS;
             }
             let version = next.policy.version;
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -12,6 +12,11 @@
 /// The part of the slack that is used, in percent; the rest covers what changes hands
 /// between gateways.
 const SLACK_PERCENT: u64 = 25;
+/// What is taken on credit at most, in parts of the leader's own divided by the gateways: some
+/// may be cut off while the others go on to borrow.
+const CREDIT_PARTS: u64 = 2;
+/// What a part that has run out is divided by.
+const OUTDATED_DIVISOR: u64 = 10;
 /// How long the leader is not asked again for a quota that it had no more of.
 const EMPTY_MS: u64 = 50;
 /// How long demand is averaged over.
@@ -36,6 +41,7 @@
 pub struct Quotas {
     buckets: BTreeMap<CustomerName, Bucket>,
     shares: Option<Shares>,
+    shares_until_ms: u64,
     slack_units: u64,
 }
 
@@ -49,9 +55,10 @@
         }
     }
 
-    /// Takes the parts that the leader gave.
-    pub fn set_shares(&mut self, shares: Shares) {
+    /// Takes the parts that the leader gave, and until when they hold whole.
+    pub fn set_shares(&mut self, shares: Shares, until_ms: u64) {
         self.shares = Some(shares);
+        self.shares_until_ms = until_ms;
     }
 
     /// How many gateways there are, as far as is known.
@@ -79,7 +86,10 @@
         units: u64,
         now_ms: u64,
     ) -> Result<(), u64> {
-        let ppm = self.share_of(customer);
+        let ppm = match now_ms < self.shares_until_ms || self.shares.is_none() {
+            true => self.share_of(customer),
+            false => self.share_of(customer) / OUTDATED_DIVISOR,
+        };
         let slack = self.slack_units * SLACK_PERCENT / 100 / self.gateways();
         let bucket = self.buckets.entry(customer.clone()).or_default();
         bucket.count_demand(units, now_ms);
@@ -104,7 +114,8 @@
         quota: QuotaPolicy,
         units: u64,
     ) -> bool {
-        let most_milli = quota.burst.min(quota.rate_per_s) * POOL_PPM / WHOLE_PPM * 1000;
+        let lent = quota.burst.min(quota.rate_per_s) * POOL_PPM / WHOLE_PPM;
+        let most_milli = lent * 1000 * CREDIT_PARTS / self.gateways();
         let bucket = self.buckets.entry(customer.clone()).or_default();
         let owed_milli = bucket.owed_milli + units * 1000;
         let allowed = owed_milli <= most_milli;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -176,11 +176,12 @@
     loop {
         interval.tick().await;
         let attempts = &shared.attempts;
-        let shares = shared.view.load().shares.clone();
+        let view = shared.view.load();
+        let (shares, until_ms) = (view.shares.clone(), view.shares_until_ms);
         let customers = {
             let mut quotas = attempts.quotas.lock().expect("no holder panics");
             if let Some(shares) = &shares {
-                quotas.set_shares(shares.as_ref().clone());
+                quotas.set_shares(shares.as_ref().clone(), until_ms);
             }
             quotas.demand(clock::boot_ms())
         };
