--- /dev/null
+++ b/tests/directory.rs
@@ -0,0 +1,134 @@
+//! The directory of targets, under announcements that are late, double or out of order.
+
+use guavacove::{
+    control::directory::{Directory, TargetAnnouncement, TargetEntry},
+    units::FencingNumber,
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::net::SocketAddr;
+
+fn announcement(name: &str, started: u64, sequence: u64, leaving: bool) -> TargetAnnouncement {
+    at_port(name, started, sequence, leaving, 7000)
+}
+
+fn at_port(
+    name: &str,
+    started: u64,
+    sequence: u64,
+    leaving: bool,
+    port: u16,
+) -> TargetAnnouncement {
+    TargetAnnouncement {
+        entry: TargetEntry {
+            name: name.into(),
+            started_unix_ms: started,
+            service: "drafts".into(),
+            address: SocketAddr::from(([10, 0, 0, 1], port)),
+            failure_domain: "a".into(),
+            slots: 4,
+            leaving,
+            warming_up: false,
+        },
+        sequence,
+    }
+}
+
+fn names(directory: &Directory) -> Vec<(String, bool)> {
+    let targets = directory.targets();
+    targets.into_iter().map(|t| (t.name.0, t.leaving)).collect()
+}
+
+#[test]
+fn a_late_announcement_does_not_bring_a_leaving_target_back() {
+    let mut directory = Directory::default();
+    assert!(directory.announce(announcement("t", 1, 1, false), 0));
+    assert!(directory.announce(announcement("t", 1, 3, true), 10));
+    assert!(!directory.announce(announcement("t", 1, 2, false), 20));
+    assert_eq!(names(&directory), [("t".to_string(), true)]);
+}
+
+#[test]
+fn a_withdrawn_target_stays_away_until_it_starts_again() {
+    let mut directory = Directory::default();
+    directory.announce(announcement("t", 1, 5, false), 0);
+    assert!(directory.withdraw(&"t".into()));
+    assert!(!directory.announce(announcement("t", 1, 6, false), 10));
+    assert!(names(&directory).is_empty());
+    assert!(directory.announce(announcement("t", 2, 1, false), 20));
+    assert_eq!(names(&directory).len(), 1);
+}
+
+#[test]
+fn the_later_start_at_an_address_wins_in_either_order() {
+    let mut directory = Directory::default();
+    directory.announce(announcement("old", 1, 9, false), 0);
+    directory.announce(announcement("new", 2, 1, false), 10);
+    assert_eq!(names(&directory), [("new".to_string(), false)]);
+    // What the old one sent before it crashed arrives last.
+    assert!(!directory.announce(announcement("old", 1, 10, false), 20));
+    assert_eq!(names(&directory), [("new".to_string(), false)]);
+}
+
+#[test]
+fn a_silent_target_runs_out_and_readers_hear_of_it() {
+    let mut directory = Directory::default();
+    let epoch = (FencingNumber(1), true);
+    directory.announce(announcement("t", 1, 1, false), 0);
+    let seen = directory.changes(None, epoch).unwrap().seen;
+    assert!(directory.changes(Some(&seen), epoch).is_none());
+    assert!(directory.expire(5000, 5000).is_empty());
+    assert_eq!(directory.expire(5000, 5001).len(), 1);
+    let changes = directory.changes(Some(&seen), epoch).unwrap();
+    assert_eq!(changes.removed.len(), 1);
+    assert!(!changes.whole);
+}
+
+#[test]
+fn the_next_leader_begins_with_a_copy_and_keeps_its_order() {
+    let mut directory = Directory::default();
+    directory.announce(announcement("t", 1, 7, false), 0);
+    let mut next = Directory::seeded(directory.copy(), 100);
+    assert_eq!(names(&next), [("t".to_string(), false)]);
+    assert!(!next.announce(announcement("t", 1, 6, true), 110));
+    assert!(next.announce(announcement("t", 1, 8, true), 120));
+}
+
+#[derive(Clone, Debug)]
+struct Sent(u8, u8, bool);
+
+impl Arbitrary for Sent {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(
+            u8::arbitrary(g) % 3,
+            u8::arbitrary(g) % 8,
+            bool::arbitrary(g),
+        )
+    }
+}
+
+/// Whatever order announcements arrive in, the last one sent decides.
+fn order_of_arrival_does_not_matter(sent: Vec<Sent>) -> bool {
+    let mut directory = Directory::default();
+    for Sent(start, sequence, leaving) in &sent {
+        let (start, sequence) = (u64::from(*start), u64::from(*sequence));
+        directory.announce(announcement("t", start, sequence, *leaving), 0);
+    }
+    let latest = sent
+        .iter()
+        .map(|Sent(start, sequence, _)| (*start, *sequence))
+        .max();
+    let Some(latest) = latest else {
+        return directory.targets().is_empty();
+    };
+    // Of equal numbers the first that arrived counts.
+    let first = sent.iter().find(|sent| (sent.0, sent.1) == latest);
+    names(&directory) == [("t".to_string(), first.unwrap().2)]
+}
+
+#[test]
+fn the_last_one_sent_decides() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 5))
+        .tests(300)
+        .quickcheck(order_of_arrival_does_not_matter as fn(Vec<Sent>) -> bool);
+}
--- /dev/null
+++ b/tests/gateway_rules.rs
@@ -0,0 +1,125 @@
+//! The gateway's pure decisions: the budget of repeats, whole events, placement.
+
+use guavacove::gateway::{
+    events::Events,
+    placement::{Candidate, Prefix, order},
+    repeats::{RepeatBounds, Repeats},
+};
+use quickcheck::{Gen, QuickCheck};
+
+const BOUNDS: RepeatBounds = RepeatBounds {
+    per_mille: 200,
+    window_s: 10,
+    slack: 60,
+};
+
+#[test]
+fn repeats_of_all_gateways_stay_within_the_shared_budget() {
+    let gateways = 7;
+    let mut budgets: Vec<Repeats> = (0..gateways).map(|_| Repeats::new(BOUNDS)).collect();
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for step in 0..6000u64 {
+        let now_ms = step * 5;
+        let budget = &mut budgets[(step % gateways) as usize];
+        budget.count(&"drafts".into(), now_ms);
+        requests.push(now_ms);
+        // Every request fails and would be repeated twice.
+        for _ in 0..2 {
+            if budget.spend(&"drafts".into(), gateways, now_ms) {
+                repeats.push(now_ms);
+            }
+        }
+    }
+    let count = |times: &[u64], from_ms: u64| {
+        times
+            .iter()
+            .filter(|at| (from_ms..from_ms + 10_000).contains(*at))
+            .count() as u64
+    };
+    for from_ms in (0..20_000).step_by(250) {
+        let most = count(&requests, from_ms) / 5 + 60;
+        assert!(count(&repeats, from_ms) <= most, "from {from_ms} ms");
+    }
+    assert!(repeats.len() > 500, "the budget is used: {}", repeats.len());
+}
+
+/// However a stream is cut into reads, the same whole events come out, and the last id is
+/// that of the last whole one.
+fn events_come_whole(count: u8, cuts: Vec<u8>) -> bool {
+    let text: String = (1..=count)
+        .map(|id| format!("id: {id}\ndata: {{\"n\":{id}}}\n\n"))
+        .collect();
+    let half = "id: 999\ndata: cut o";
+    let bytes = format!("{text}{half}").into_bytes();
+    let (mut events, mut out, mut at) = (Events::default(), Vec::new(), 0);
+    for cut in cuts.iter().chain(&[255; 20]) {
+        let end = (at + usize::from(*cut) + 1).min(bytes.len());
+        out.extend_from_slice(&events.take(&bytes[at..end]));
+        at = end;
+    }
+    out.extend_from_slice(&events.take(&bytes[at..]));
+    let last_id = (count > 0).then_some(u64::from(count));
+    out == text.as_bytes() && events.is_partial() && events.last_id() == last_id
+}
+
+#[test]
+fn only_whole_events_are_passed_on() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 9))
+        .tests(300)
+        .quickcheck(events_come_whole as fn(u8, Vec<u8>) -> bool);
+}
+
+fn candidate(name: &str, in_progress: u64, first_ms: Option<u64>) -> Candidate {
+    Candidate {
+        name: name.into(),
+        in_progress,
+        slots: 4,
+        wait_ms: 0,
+        first_ms,
+        is_near: true,
+        warming_up: false,
+    }
+}
+
+#[test]
+fn a_straggler_gets_what_the_others_have_no_room_for() {
+    let mut candidates = vec![
+        candidate("slow", 0, Some(900)),
+        candidate("fast", 0, Some(100)),
+    ];
+    assert_eq!(order(&candidates, Prefix::default(), 1), [1, 0]);
+    candidates[1].wait_ms = 1500;
+    assert_eq!(order(&candidates, Prefix::default(), 1), [0, 1]);
+}
+
+#[test]
+fn a_prefix_goes_where_it_is_kept_until_waiting_there_costs_more() {
+    let mut candidates: Vec<Candidate> = (0..6)
+        .map(|number| candidate(&format!("engine-{number}"), 0, Some(100)))
+        .collect();
+    let prefix = Prefix {
+        id: Some(42),
+        percent: 90,
+    };
+    let holder = order(&candidates, prefix, 1)[0];
+    assert_eq!(
+        order(&candidates, prefix, 2)[0],
+        holder,
+        "gateways agree on the holder"
+    );
+    candidates[holder].wait_ms = 300;
+    assert_ne!(order(&candidates, prefix, 1)[0], holder);
+}
+
+#[test]
+fn equal_targets_are_not_all_chosen_alike() {
+    let candidates: Vec<Candidate> = (0..6)
+        .map(|number| candidate(&format!("engine-{number}"), 0, None))
+        .collect();
+    let first: std::collections::BTreeSet<usize> = (0..50)
+        .map(|seed| order(&candidates, Prefix::default(), seed)[0])
+        .collect();
+    assert!(first.len() > 3, "{first:?}");
+}
--- /dev/null
+++ b/tests/slots.rs
@@ -0,0 +1,231 @@
+//! The line and the places of one target, under the loads that they answer.
+
+use guavacove::{
+    agent::slots::{Holder, Outcome, Slots},
+    grants::{Ask, TicketNumber},
+    units::TierRank,
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::BTreeMap;
+
+const START_MS: u64 = 1_000_000;
+
+fn ask(rank: u8, units: u64) -> Ask {
+    Ask {
+        ticket: TicketNumber(0),
+        started_unix_ms: 1,
+        slots: 2,
+        rank: TierRank(rank),
+        waited_ms: 0,
+        objective_left_ms: 1000,
+        begin_left_ms: 5000,
+        deadline_left_ms: 10_000,
+        work_units: units,
+        fingerprint: 0,
+    }
+}
+
+fn granted(outcomes: &[Outcome]) -> Vec<u64> {
+    let holders = outcomes.iter().filter_map(|outcome| match outcome {
+        Outcome::Granted((_, ticket)) => Some(*ticket),
+        _ => None,
+    });
+    holders.collect()
+}
+
+fn refused(outcomes: &[Outcome]) -> Vec<u64> {
+    let holders = outcomes.iter().filter_map(|outcome| match outcome {
+        Outcome::Refused((_, ticket), _) => Some(*ticket),
+        _ => None,
+    });
+    holders.collect()
+}
+
+/// Two long requests hold both places.
+fn full() -> Slots {
+    let mut slots = Slots::default();
+    assert_eq!(granted(&slots.ask((0, 1), &ask(0, 100), START_MS)), [1]);
+    assert_eq!(granted(&slots.ask((0, 2), &ask(0, 100), START_MS)), [2]);
+    slots
+}
+
+#[test]
+fn a_burst_of_all_tiers_is_served_highest_first() {
+    let mut slots = full();
+    for (ticket, rank) in [(3, 2), (4, 1), (5, 0)] {
+        let outcomes = slots.ask((0, ticket), &ask(rank, 100), START_MS);
+        assert!(granted(&outcomes).is_empty());
+    }
+    let mut served = Vec::new();
+    for free in [1, 2, 5] {
+        served.extend(granted(&slots.give_up(
+            (0, free),
+            Some(500),
+            START_MS + 500,
+        )));
+    }
+    assert_eq!(served, [5, 4, 3]);
+}
+
+#[test]
+fn short_requests_go_before_long_ones_until_those_have_waited() {
+    let mut slots = full();
+    slots.ask((0, 3), &ask(0, 1000), START_MS);
+    slots.ask((0, 4), &ask(0, 10), START_MS + 1);
+    assert_eq!(granted(&slots.give_up((0, 1), None, START_MS + 2)), [4]);
+    // The long one has waited long; a short one that comes now goes after it.
+    let mut young = ask(0, 10);
+    young.objective_left_ms = 0;
+    slots.ask((0, 5), &young, START_MS + 2500);
+    assert_eq!(granted(&slots.give_up((0, 2), None, START_MS + 2501)), [3]);
+}
+
+#[test]
+fn what_is_still_in_time_goes_before_what_is_late() {
+    let mut slots = full();
+    let mut late = ask(0, 50);
+    late.objective_left_ms = 0;
+    slots.ask((0, 3), &late, START_MS);
+    slots.ask((0, 4), &ask(0, 50), START_MS + 10);
+    assert_eq!(granted(&slots.give_up((0, 1), None, START_MS + 20)), [4]);
+}
+
+#[test]
+fn what_cannot_be_answered_in_time_is_refused_at_once_with_its_wait() {
+    let mut slots = full();
+    for ticket in 3..40 {
+        slots.ask((0, ticket), &ask(0, 1000), START_MS);
+    }
+    let mut hurried = ask(1, 100);
+    hurried.begin_left_ms = 200;
+    let outcomes = slots.ask((0, 99), &hurried, START_MS);
+    let [Outcome::Refused((0, 99), wait_ms)] = outcomes[..] else {
+        panic!("{outcomes:?}");
+    };
+    assert!(wait_ms > 200, "{wait_ms}");
+}
+
+#[test]
+fn one_that_waited_until_it_is_hopeless_is_refused_then_and_not_at_its_deadline() {
+    let mut slots = full();
+    let mut hurried = ask(0, 10);
+    hurried.begin_left_ms = 600;
+    slots.ask((0, 3), &hurried, START_MS);
+    assert!(refused(&slots.tick(START_MS + 500)).is_empty());
+    assert_eq!(refused(&slots.tick(START_MS + 601)), [3]);
+}
+
+#[test]
+fn who_was_refused_and_came_back_goes_before_who_comes_anew() {
+    let mut slots = full();
+    let mut first = ask(0, 10);
+    (first.fingerprint, first.begin_left_ms) = (7, 10);
+    assert_eq!(refused(&slots.ask((0, 3), &first, START_MS)), [3]);
+    slots.ask((0, 4), &ask(0, 10), START_MS + 60);
+    let mut again = ask(0, 10);
+    again.fingerprint = 7;
+    slots.ask((0, 5), &again, START_MS + 100);
+    assert_eq!(granted(&slots.give_up((0, 1), None, START_MS + 110)), [5]);
+}
+
+#[test]
+fn a_rank_that_has_starved_is_expected_to_wait_as_long() {
+    let mut slots = full();
+    let mut patient = ask(2, 10);
+    (patient.begin_left_ms, patient.deadline_left_ms) = (60_000, 60_000);
+    slots.ask((0, 3), &patient, START_MS);
+    slots.tick(START_MS + 4000);
+    let mut hurried = ask(2, 10);
+    hurried.begin_left_ms = 3000;
+    let outcomes = slots.ask((0, 4), &hurried, START_MS + 4000);
+    assert_eq!(refused(&outcomes), [4]);
+}
+
+#[test]
+fn a_lost_link_frees_what_it_held_and_waited_for() {
+    let mut slots = full();
+    slots.ask((1, 1), &ask(0, 10), START_MS);
+    slots.ask((2, 1), &ask(0, 10), START_MS);
+    let outcomes = slots.close(0, START_MS + 10);
+    assert_eq!(granted(&outcomes).len(), 2);
+    assert_eq!(slots.load(), (2, 0));
+    slots.close(1, START_MS + 20);
+    assert_eq!(slots.load(), (1, 0));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(u8, u8),
+    GiveUp(u8),
+    Tick,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 5 {
+            0 | 1 => Self::Ask(u8::arbitrary(g) % 3, u8::arbitrary(g)),
+            2 | 3 => Self::GiveUp(u8::arbitrary(g)),
+            _ => Self::Tick,
+        }
+    }
+}
+
+/// Over any steps: never more grants than slots, every ask has one last word, and no grant
+/// goes to a lower tier while a higher one waits here.
+fn places_are_kept(steps: Vec<Step>) -> bool {
+    let mut slots = Slots::default();
+    let mut now_ms = START_MS;
+    let mut waiting: BTreeMap<Holder, u8> = BTreeMap::new();
+    let mut holding: BTreeMap<Holder, u8> = BTreeMap::new();
+    for (number, step) in (0u64..).zip(steps) {
+        now_ms += 37;
+        let outcomes = match step {
+            Step::Ask(rank, units) => {
+                waiting.insert((0, number), rank);
+                slots.ask((0, number), &ask(rank, u64::from(units)), now_ms)
+            }
+            Step::GiveUp(position) => {
+                let all: Vec<Holder> = waiting.keys().chain(holding.keys()).copied().collect();
+                let Some(holder) = all.get(usize::from(position) % all.len().max(1)) else {
+                    continue;
+                };
+                waiting.remove(holder);
+                holding.remove(holder);
+                slots.give_up(*holder, Some(100), now_ms)
+            }
+            Step::Tick => slots.tick(now_ms),
+        };
+        for outcome in outcomes {
+            match outcome {
+                Outcome::Granted(holder) => {
+                    let Some(rank) = waiting.remove(&holder) else {
+                        return false;
+                    };
+                    if waiting.values().any(|other| *other < rank) {
+                        return false;
+                    }
+                    holding.insert(holder, rank);
+                }
+                Outcome::Refused(holder, _) => {
+                    if waiting.remove(&holder).is_none() {
+                        return false;
+                    }
+                }
+                Outcome::Queued(holder, _) if !waiting.contains_key(&holder) => return false,
+                Outcome::Queued(..) => {}
+            }
+        }
+        if holding.len() > 2 || slots.load() != (holding.len(), waiting.len()) {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn places_are_kept_over_any_steps() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, 11))
+        .tests(300)
+        .quickcheck(places_are_kept as fn(Vec<Step>) -> bool);
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -7,7 +7,7 @@
 use std::{
     net::{SocketAddr, TcpStream, UdpSocket},
     path::PathBuf,
-    process::{Child, Command, Output, Stdio},
+    process::{Child, Command, Output},
     sync::{
         Mutex,
         atomic::{AtomicU16, Ordering},
@@ -153,11 +153,13 @@
     let log = std::fs::OpenOptions::new()
         .create(true)
         .append(true)
-        .open(log);
+        .open(log)
+        .expect("the log can be written");
+    let output = log.try_clone().expect("the log can be opened twice");
     program()
         .args(arguments)
-        .stdout(Stdio::null())
-        .stderr(log.expect("the log can be written"))
+        .stdout(output)
+        .stderr(log)
         .spawn()
         .expect("the program starts")
 }
