Begin nothing that a planned stop would cut

Change: after a request to stop, what would likely last longer than the grace time is refused as not run, to be sent to another gateway at once.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -18,9 +18,11 @@
         shares::Demand,
     },
     control_view::ControlView,
+    entry::refusal::Refusal,
     http_server::HttpServer,
     settings::GatewaySettings,
     units::*,
+    verdict::Reason,
 };
 use bytes::Bytes;
 use http_body_util::{Either, Full, StreamBody};
@@ -54,6 +56,11 @@
 
 /// How often demand is reported, parts are taken, and unused connections are closed.
 const UPKEEP_MS: u64 = 250;
+/// How many times its expected time a request is given before a stop: estimates of lengths
+/// are often far off.
+const STOP_MARGIN: u64 = 4;
+/// The advice when to come back to a gateway that stops: another one takes it at once.
+const STOPPING_RETRY_MS: u64 = 20;
 /// The smallest read buffer that the HTTP library takes.
 const LEAST_BUFFER_BYTES: usize = 8192;
 
@@ -71,6 +78,9 @@
     view: Arc<ControlView>,
     attempts: Arc<Attempts<D>>,
     stopping: AtomicBool,
+    /// When the process is killed after it was asked to stop; 0 before.
+    killed_at_ms: AtomicU64,
+    stop_grace_ms: u64,
     dialect: D,
 }
 
@@ -123,6 +133,8 @@
             view,
             attempts,
             stopping: AtomicBool::new(false),
+            killed_at_ms: AtomicU64::new(0),
+            stop_grace_ms: settings.stop_grace_s * 1000,
             dialect,
         });
         let asked = Arc::clone(&shared);
@@ -159,6 +171,10 @@
     /// Turns unready, serves on for the balancer, then finishes every request.
     pub async fn shutdown(self) {
         tracing::info!(name = %self.name, "gateway: stops");
+        let killed_at_ms = clock::boot_ms() + self.shared.stop_grace_ms;
+        self.shared
+            .killed_at_ms
+            .store(killed_at_ms, Ordering::Relaxed);
         self.shared.stopping.store(true, Ordering::Relaxed);
         tokio::time::sleep(self.balancer_delay).await;
         let _ = self.stop.send(());
@@ -254,6 +270,14 @@
         response
     }
 
+    /// Whether a request would likely still run when this process is killed.
+    fn would_be_cut(&self, inbound: &Inbound) -> bool {
+        let killed_at_ms = self.killed_at_ms.load(Ordering::Relaxed);
+        let longest_ms = self.attempts.targets.run_ms(inbound.work_units()) * STOP_MARGIN;
+        let run_ms = longest_ms.min(inbound.left_ms());
+        killed_at_ms > 0 && clock::boot_ms() + run_ms > killed_at_ms
+    }
+
     async fn answer(
         &self,
         request: Request<Incoming>,
@@ -262,6 +286,11 @@
         let read = Inbound::read(request, &view, self.dialect).await;
         drop(view);
         let (id, answered) = match read {
+            Ok(inbound) if self.would_be_cut(&inbound) => {
+                let message = "this gateway stops before the answer would be whole";
+                let refusal = Refusal::not_run(Reason::Leaving, message);
+                (inbound.id, Err(refusal.retry_after(STOPPING_RETRY_MS)))
+            }
             Ok(inbound) => {
                 let inbound = Arc::new(inbound);
                 let id = inbound.id.clone();
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -70,6 +70,7 @@
     /// The target.
     pub target: TargetEntry,
     began_ms: u64,
+    work_units: u64,
     granted: Option<Asked>,
 }
 
@@ -98,6 +99,8 @@
     known: HashMap<TargetName, Known>,
     lines: BTreeMap<ServiceName, Line>,
     shares: Shares,
+    /// The time for one unit of work of late, in microseconds.
+    unit_micros: u64,
 }
 
 /// See the module.
@@ -241,6 +244,11 @@
         }
     }
 
+    /// How long a request of so much work takes, as far as was measured of late.
+    pub fn run_ms(&self, work_units: u64) -> u64 {
+        work_units * self.state().unit_micros / 1000
+    }
+
     /// Takes the leader's parts.
     pub fn set_shares(&self, shares: Shares) {
         self.state().shares = shares;
@@ -361,6 +369,7 @@
             service: want.service.clone(),
             target,
             began_ms: now_ms,
+            work_units: want.work_units,
             granted,
         }
     }
@@ -477,6 +486,9 @@
         let ran_ms = clock::boot_ms().saturating_sub(self.began_ms);
         if let Some(granted) = &mut self.granted {
             granted.ran_ms = Some(ran_ms);
+            let measured = ran_ms * 1000 / self.work_units.max(1);
+            let mut state = self.targets.state();
+            state.unit_micros = (state.unit_micros * 7 + measured) / 8;
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -77,6 +77,10 @@
         /// How long it serves on after it turns unready, for the balancer.
         #[serde(default = "default_balancer_delay_ms")]
         pub balancer_delay_ms: u64,
+        /// How long after a request to stop the process is killed; what would last longer
+        /// is not begun then.
+        #[serde(default = "default_stop_grace_s")]
+        pub stop_grace_s: u64,
         /// See [`QuotaTolerance`].
         #[serde(default)]
         pub quota_tolerance: QuotaTolerance,
@@ -230,6 +234,11 @@
     }
 }
 
+/// What service managers commonly grant.
+fn default_stop_grace_s() -> u64 {
+    30
+}
+
 fn default_balancer_delay_ms() -> u64 {
     3000
 }
