Give up a place at a target that began to leave meanwhile

Ruled out: a late view (the gateway had the change 2 s before).

Change: a grant counts only if the target still takes work; the search goes on otherwise. The test failed first (200 from the leaving target) and passes now.

--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -177,37 +177,52 @@
         }
     }
 
-    /// Finds a place that the agent of a target grants.
+    /// Finds a place that the agent of a target grants. A target may have begun to leave
+    /// while the request waited for it; the search goes on elsewhere then.
     async fn place_granted(self: &Arc<Self>, want: &Want<'_>, port: u16) -> Result<Place, Refusal> {
-        let now_ms = clock::boot_ms();
-        let targets = self.in_order(&self.state(), want, now_ms);
-        if targets.is_empty() {
-            return Err(no_target(want));
-        }
-        let mut search = Search::new(&self.keepers, want, &targets, port);
-        let found = search.run().await;
-        let waits = std::mem::take(&mut search.waits);
-        drop(search);
-        let now_ms = clock::boot_ms();
-        let mut state = self.state();
-        for (name, wait_ms) in waits {
-            state.known.entry(name).or_default().wait = Some((wait_ms, now_ms));
-        }
-        match found {
-            Found::Place(position, granted) => {
-                let target = targets[position].clone();
-                Ok(self.take(&mut state, want, target, Some(granted), now_ms))
+        loop {
+            let now_ms = clock::boot_ms();
+            let targets = self.in_order(&self.state(), want, now_ms);
+            if targets.is_empty() {
+                return Err(no_target(want));
             }
-            Found::Refused(wait_ms) => {
-                let waited_ms = now_ms.saturating_sub(want.waiting.arrived_ms);
-                let message = format!("a wait of {wait_ms} ms is expected, after {waited_ms} ms");
-                let refusal = Refusal::not_run(Reason::Shed, message);
-                Err(refusal.retry_after(retry_after_ms(wait_ms)))
+            let mut search = Search::new(&self.keepers, want, &targets, port);
+            let found = search.run().await;
+            let waits = std::mem::take(&mut search.waits);
+            drop(search);
+            let now_ms = clock::boot_ms();
+            let mut state = self.state();
+            for (name, wait_ms) in waits {
+                state.known.entry(name).or_default().wait = Some((wait_ms, now_ms));
+            }
+            match found {
+                Found::Place(position, granted) if self.takes_work(&targets[position]) => {
+                    let target = targets[position].clone();
+                    return Ok(self.take(&mut state, want, target, Some(granted), now_ms));
+                }
+                Found::Place(position, _) => {
+                    let target = &targets[position].name;
+                    tracing::info!(request = want.request, %target, "gateway: place given up, target leaves");
+                }
+                Found::Refused(wait_ms) => {
+                    let waited_ms = now_ms.saturating_sub(want.waiting.arrived_ms);
+                    let message =
+                        format!("a wait of {wait_ms} ms is expected, after {waited_ms} ms");
+                    let refusal = Refusal::not_run(Reason::Shed, message);
+                    return Err(refusal.retry_after(retry_after_ms(wait_ms)));
+                }
+                Found::NoAgent => return self.choose(&mut state, want, now_ms),
             }
-            Found::NoAgent => self.choose(&mut state, want, now_ms),
         }
     }
 
+    /// Whether a target that was known when a search began still takes new work.
+    fn takes_work(&self, target: &TargetEntry) -> bool {
+        let view = self.view.load();
+        let now = view.targets.get(&target.name);
+        now.is_some_and(|now| !now.leaving && now.started_unix_ms == target.started_unix_ms)
+    }
+
     /// Finds a place by this gateway's part of all places.
     async fn place_shared(self: &Arc<Self>, want: &Want<'_>) -> Result<Place, Refusal> {
         let now_ms = clock::boot_ms();
