Bound the logs, and serve metrics

Cause: on-call engineers have only logs and metrics; lines went to standard error without a bound, and gateways had no metrics.

Change: JSON lines on standard output through a bounded queue that nothing waits for; 300 lines a second on success and as many of all else, what is left out is counted and said once a second.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -17,6 +17,7 @@
     clock,
     consensus::*,
     document::Policy,
+    metrics,
     units::{CustomerName, DocumentVersion, FencingNumber, ProcessName, TargetName},
 };
 use bytes::Bytes;
@@ -336,7 +337,10 @@
                     tracing::info!(waited_ms, "control: the disk takes writes again");
                     return Ok(());
                 }
-                Ok(()) => return Ok(()),
+                Ok(()) => {
+                    metrics::control_synced(waited_ms);
+                    return Ok(());
+                }
                 Err(error) if waited_ms > DISK_PATIENCE_MS => return Err(error.into()),
                 Err(error) => {
                     if !failed {
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -16,6 +16,7 @@
             self.demands = Demands::default();
             self.pools = Pools::new(self.beyond_quota_per_s);
             self.limits = Limits::new(now_ms);
+            metrics::control_leads();
             tracing::info!(term = self.led_term.0, "control: leads");
         }
         if self.leased().is_err() {
@@ -81,6 +82,7 @@
 
     /// Takes an announcement of a target.
     pub(super) fn announce(&mut self, announcement: TargetAnnouncement) {
+        metrics::control_announced();
         let now_ms = self.now_ms();
         let TargetAnnouncement { entry, sequence } = announcement.clone();
         if self.directory.announce(announcement, now_ms) {
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -52,7 +52,7 @@
 /// # Errors
 /// Fails if the port is taken or the control instance does not start.
 pub async fn run(port: u16) -> Result<(), CommandError> {
-    let telemetry = Telemetry::install(&TelemetrySettings::default(), "dev");
+    let telemetry = Telemetry::install_beside_output(&TelemetrySettings::default(), "dev");
     let process = std::process::id();
     let folder = TemporaryFolder(std::env::temp_dir().join(format!("guavacove-dev-{process}")));
     let own = PeerSettings {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -15,6 +15,7 @@
     control::{ControlClient, rpc::ControlRpcClient},
     document::{QuotaPolicy, Repeat},
     entry::refusal::Refusal,
+    metrics,
     units::*,
     verdict::{Reason, Verdict},
 };
@@ -168,7 +169,7 @@
             return Ok(());
         }
         let (share_ppm, left_units) = self.quotas().standing(&customer.name);
-        tracing::info!(
+        tracing::warn!(
             request = inbound.id, customer = %customer.name, units, rate_per_s = quota.rate_per_s,
             share_ppm, left_units, asked_leader = may_borrow, "gateway: over quota"
         );
@@ -227,7 +228,8 @@
         }
         match progress.arrivals == 0 || self.spend(&inbound.service) {
             true => {
-                tracing::info!(
+                metrics::gateway_repeated(&inbound.service, "again");
+                tracing::warn!(
                     request = inbound.id, reason = %refusal.reason, verdict = %refusal.verdict,
                     tries = progress.tried.len(), "gateway: tried again"
                 );
@@ -481,6 +483,9 @@
 }
 
 fn log_answer(inbound: &Inbound, place: &Place, status: StatusCode, progress: &Progress) {
+    let took_ms = clock::boot_ms() - inbound.arrived_ms;
+    metrics::gateway_began(&inbound.service, inbound.rank, status.as_u16(), took_ms);
+    metrics::gateway_finished(&inbound.service, inbound.rank, took_ms);
     tracing::info!(
         request = inbound.id, route = inbound.route.name, target = %place.target.name,
         status = status.as_u16(), took_ms = clock::boot_ms() - inbound.arrived_ms,
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -8,7 +8,7 @@
     inbound::{Inbound, end_to_end},
     targets::Place,
 };
-use crate::{clock, document::Repeat};
+use crate::{clock, document::Repeat, metrics};
 use bytes::Bytes;
 use futures::Stream;
 use http_body_util::BodyExt;
@@ -64,6 +64,9 @@
         if resumable {
             parts.headers.remove(hyper::header::CONTENT_LENGTH);
         }
+        let first_ms = clock::boot_ms() - inbound.arrived_ms;
+        let status = parts.status.as_u16();
+        metrics::gateway_began(&inbound.service, inbound.rank, status, first_ms);
         tracing::info!(
             request = inbound.id, route = inbound.route.name, target = %place.target.name,
             status = parts.status.as_u16(), first_ms = clock::boot_ms() - inbound.arrived_ms,
@@ -162,6 +165,7 @@
         let Some(reply) = resumed else {
             return false;
         };
+        metrics::gateway_repeated(&self.inbound.service, "resumed");
         tracing::info!(
             request = self.inbound.id, %from, target = %reply.place.target.name, last_id,
             error, "gateway: stream resumed"
@@ -180,6 +184,8 @@
     fn finish(&mut self) {
         self.ended = true;
         self.place.answered();
+        let took_ms = clock::boot_ms() - self.inbound.arrived_ms;
+        metrics::gateway_finished(&self.inbound.service, self.inbound.rank, took_ms);
         if let Some(connection) = self.connection.take() {
             self.attempts
                 .connections
@@ -194,6 +200,7 @@
 
     fn broken(&mut self, error: String) -> io::Error {
         self.ended = true;
+        metrics::gateway_broke(&self.inbound.service, "broken");
         tracing::warn!(
             request = self.inbound.id, target = %self.place.target.name, bytes = self.bytes,
             error, verdict = "may-have-run",
@@ -206,6 +213,7 @@
 impl<D> Drop for Relay<D> {
     fn drop(&mut self) {
         if !self.ended {
+            metrics::gateway_broke(&self.inbound.service, "caller-left");
             tracing::info!(
                 request = self.inbound.id, target = %self.place.target.name, bytes = self.bytes,
                 took_ms = clock::boot_ms() - self.inbound.arrived_ms, "gateway: caller left"
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -20,6 +20,7 @@
     control_view::ControlView,
     entry::refusal::Refusal,
     http_server::HttpServer,
+    metrics,
     settings::GatewaySettings,
     units::*,
     verdict::Reason,
@@ -304,7 +305,8 @@
                 head.map(|()| Either::Right(StreamBody::new(relay.into_stream())))
             }
             Err(refusal) => {
-                tracing::info!(
+                metrics::gateway_refused(refusal.verdict, &refusal.reason);
+                tracing::warn!(
                     request = id, reason = %refusal.reason, verdict = %refusal.verdict,
                     retry_after_ms = refusal.retry_after_ms, why = refusal.message,
                     "gateway: refused"
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -14,6 +14,7 @@
     },
     control_view::ControlView,
     entry::refusal::Refusal,
+    metrics,
     units::*,
     verdict::Reason,
 };
@@ -374,6 +375,8 @@
         known.in_progress += 1;
         let line = state.lines.entry(want.service.clone()).or_default();
         line.in_progress += 1;
+        let waited_ms = now_ms.saturating_sub(want.waiting.arrived_ms);
+        metrics::gateway_placed(want.service, want.waiting.rank, waited_ms);
         tracing::debug!(
             request = want.request, target = %target.name, in_progress = known.in_progress,
             first_ms = ?known.first_ms, waited_ms = now_ms - want.waiting.arrived_ms,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,4 +1,4 @@
-//! The metrics of entries and agents.
+//! The metrics of all processes.
 
 use crate::{
     units::*,
@@ -70,3 +70,147 @@
     let outcome = if answered { "answered" } else { "wasted" };
     PROMPT_TOKENS.add(tokens.0, &[KeyValue::new("outcome", outcome)]);
 }
+
+/// Declares a counter of the gateway.
+macro_rules! counter {
+    ($name:ident, $metric:literal, $description:literal) => {
+        static $name: LazyLock<Counter<u64>> = LazyLock::new(|| {
+            global::meter("guavacove")
+                .u64_counter($metric)
+                .with_description($description)
+                .build()
+        });
+    };
+}
+
+/// Declares a histogram of times in milliseconds.
+macro_rules! histogram {
+    ($name:ident, $metric:literal, $description:literal) => {
+        static $name: LazyLock<Histogram<u64>> = LazyLock::new(|| {
+            global::meter("guavacove")
+                .u64_histogram($metric)
+                .with_unit("ms")
+                .with_description($description)
+                .build()
+        });
+    };
+}
+
+counter!(
+    GATEWAY_ANSWERS,
+    "guavacove.gateway.answers",
+    "Answers of targets passed on, by service, rank and status"
+);
+counter!(
+    GATEWAY_REFUSALS,
+    "guavacove.gateway.refusals",
+    "Requests refused, by verdict and reason"
+);
+counter!(
+    GATEWAY_BREAKS,
+    "guavacove.gateway.breaks",
+    "Streams that ended before they were whole, by service and why"
+);
+counter!(
+    GATEWAY_REPEATS,
+    "guavacove.gateway.repeats",
+    "Sends after the first of a request, by service and kind"
+);
+counter!(
+    LOG_LINES_LEFT_OUT,
+    "guavacove.log.left_out",
+    "Log lines over the budget, or not taken by their reader"
+);
+counter!(
+    CONTROL_LEADS,
+    "guavacove.control.leaderships",
+    "Times that this replica began to lead"
+);
+counter!(
+    CONTROL_ANNOUNCEMENTS,
+    "guavacove.control.announcements",
+    "Announcements of targets taken"
+);
+histogram!(
+    GATEWAY_WAIT,
+    "guavacove.gateway.wait",
+    "How long requests waited for a place, by service and rank"
+);
+histogram!(
+    GATEWAY_FIRST,
+    "guavacove.gateway.first_event",
+    "How long the head of an answer took from the arrival of the request, by service and rank"
+);
+histogram!(
+    GATEWAY_TOOK,
+    "guavacove.gateway.duration",
+    "How long whole answers took from the arrival of the request, by service and rank"
+);
+histogram!(
+    CONTROL_SYNC,
+    "guavacove.control.sync",
+    "How long writes of the log took until they were durable"
+);
+
+fn of(service: &ServiceName, rank: TierRank) -> [KeyValue; 2] {
+    [
+        KeyValue::new("service", service.0.clone()),
+        KeyValue::new("rank", i64::from(rank.0)),
+    ]
+}
+
+/// Records how long a request waited for a place.
+pub fn gateway_placed(service: &ServiceName, rank: TierRank, wait_ms: u64) {
+    GATEWAY_WAIT.record(wait_ms, &of(service, rank));
+}
+
+/// Counts an answer whose head has come, and records how long that took.
+pub fn gateway_began(service: &ServiceName, rank: TierRank, status: u16, first_ms: u64) {
+    let [service, rank] = of(service, rank);
+    GATEWAY_FIRST.record(first_ms, &[service.clone(), rank.clone()]);
+    let status = KeyValue::new("status", i64::from(status));
+    GATEWAY_ANSWERS.add(1, &[service, rank, status]);
+}
+
+/// Records how long an answer took that was passed on whole.
+pub fn gateway_finished(service: &ServiceName, rank: TierRank, took_ms: u64) {
+    GATEWAY_TOOK.record(took_ms, &of(service, rank));
+}
+
+/// Counts a refusal of a gateway.
+pub fn gateway_refused(verdict: Verdict, reason: &Reason) {
+    let verdict = KeyValue::new("verdict", verdict.to_string());
+    GATEWAY_REFUSALS.add(1, &[verdict, KeyValue::new("reason", reason.to_string())]);
+}
+
+/// Counts a stream that ended early: `broken`, or `caller-left`.
+pub fn gateway_broke(service: &ServiceName, why: &'static str) {
+    let service = KeyValue::new("service", service.0.clone());
+    GATEWAY_BREAKS.add(1, &[service, KeyValue::new("why", why)]);
+}
+
+/// Counts a repeat: `again`, or `resumed`.
+pub fn gateway_repeated(service: &ServiceName, kind: &'static str) {
+    let service = KeyValue::new("service", service.0.clone());
+    GATEWAY_REPEATS.add(1, &[service, KeyValue::new("kind", kind)]);
+}
+
+/// Counts log lines that were left out.
+pub fn log_lines_left_out(lines: u64) {
+    LOG_LINES_LEFT_OUT.add(lines, &[]);
+}
+
+/// Counts a leadership that begins.
+pub fn control_leads() {
+    CONTROL_LEADS.add(1, &[]);
+}
+
+/// Counts an announcement of a target.
+pub fn control_announced() {
+    CONTROL_ANNOUNCEMENTS.add(1, &[]);
+}
+
+/// Records how long a write of the log took.
+pub fn control_synced(took_ms: u64) {
+    CONTROL_SYNC.record(took_ms, &[]);
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -27,6 +27,8 @@
         pub otlp_endpoint: Option<String>,
         /// Whether log lines are JSON.
         pub json_logs: bool,
+        /// Where metrics are served as Prometheus text; nowhere if unset.
+        pub metrics: Option<SocketAddr>,
     }
 
     /// Settings of `guavacove entry`.
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,9 +1,9 @@
 //! Logs, traces and metrics of one process.
 
-use crate::settings::TelemetrySettings;
+use crate::{clock, http_server::HttpServer, metrics, settings::TelemetrySettings};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, client::conn::http1};
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use opentelemetry::{
     KeyValue, global,
@@ -18,17 +18,39 @@
     propagation::TraceContextPropagator,
     trace::SdkTracerProvider,
 };
-use std::{collections::HashMap, time::Duration};
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 use tokio::{net::TcpStream, runtime::Handle, time::timeout};
-use tracing::Span;
+use tracing::{Level, Metadata, Span};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_opentelemetry::OpenTelemetrySpanExt;
-use tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt};
+use tracing_subscriber::{
+    EnvFilter, Layer,
+    filter::{DynFilterFn, dynamic_filter_fn},
+    fmt::MakeWriter,
+    layer::{Context, SubscriberExt},
+    util::SubscriberInitExt,
+};
 
 /// The header that carries a trace.
 pub const TRACEPARENT: &str = "traceparent";
 /// How often metrics are exported.
 const METRIC_INTERVAL_MS: u64 = 5000;
 
+/// How many log lines wait for the writer at most; more are left out and counted.
+const QUEUED_LINES: usize = 4096;
+/// How many lines a second are written of each kind at most: on success, and on refusals,
+/// failures and changes of what the process believes. A few hundred cost a small instance
+/// about a hundredth of its processor.
+const LINES_PER_S: u64 = 300;
+/// How often it is said how many lines were left out.
+const LEFT_OUT_INTERVAL_MS: u64 = 1000;
+
 /// How long one export may take.
 const EXPORT_TIMEOUT_MS: u64 = 3000;
 
@@ -79,16 +101,40 @@
 pub struct Telemetry {
     tracer: Option<SdkTracerProvider>,
     meter: Option<SdkMeterProvider>,
+    /// Writes what is queued when it is dropped.
+    writer: Option<WorkerGuard>,
 }
 
 impl Telemetry {
-    /// Starts logging, and exporting if the settings name a collector. Logs go
-    /// to standard error; `RUST_LOG` sets their level.
+    /// Starts logging, and exporting if the settings name a collector. Logs go to standard
+    /// output through a bounded queue, so that nothing waits for their reader; `RUST_LOG`
+    /// sets their level.
     pub fn install(settings: &TelemetrySettings, process: &str) -> Self {
+        let (lines, writer) = NonBlockingBuilder::default()
+            .lossy(true)
+            .buffered_lines_limit(QUEUED_LINES)
+            .finish(std::io::stdout());
+        let dropped = lines.error_counter();
+        let mut telemetry = Self::install_to(lines, settings, process);
+        telemetry.writer = Some(writer);
+        tokio::spawn(report_left_out(dropped));
+        telemetry
+    }
+
+    /// As [`Self::install`], with logs on standard error, for a command whose output is for
+    /// people.
+    pub fn install_beside_output(settings: &TelemetrySettings, process: &str) -> Self {
+        Self::install_to(std::io::stderr, settings, process)
+    }
+
+    fn install_to<W>(writer: W, settings: &TelemetrySettings, process: &str) -> Self
+    where
+        W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+    {
         let filter = EnvFilter::try_from_default_env()
             .unwrap_or_else(|_| EnvFilter::new("warn,guavacove=info"));
         let lines = tracing_subscriber::fmt::layer()
-            .with_writer(std::io::stderr)
+            .with_writer(writer)
             .with_target(false);
         let lines = match settings.json_logs {
             true => lines.json().boxed(),
@@ -98,10 +144,7 @@
             .otlp_endpoint
             .as_ref()
             .and_then(|url| tracer(url, process));
-        let meter = settings
-            .otlp_endpoint
-            .as_ref()
-            .and_then(|url| meter(url, process));
+        let meter = meter(settings, process);
         let spans = tracer.as_ref().map(|provider| {
             tracing_opentelemetry::layer()
                 .with_tracer(provider.tracer("guavacove"))
@@ -110,23 +153,28 @@
                 }))
         });
         let installed = tracing_subscriber::registry()
-            .with(lines.with_filter(filter))
+            .with(lines.with_filter(within_budget()).with_filter(filter))
             .with(spans);
         let _ = installed.try_init();
         if let Some(meter) = &meter {
             global::set_meter_provider(meter.clone());
         }
-        Self { tracer, meter }
+        Self {
+            tracer,
+            meter,
+            writer: None,
+        }
     }
 
-    /// Sends what has not been sent yet.
-    pub fn flush(&self) {
+    /// Sends and writes what is still waiting.
+    pub fn flush(mut self) {
         if let Some(tracer) = &self.tracer {
             let _ = tracer.force_flush();
         }
         if let Some(meter) = &self.meter {
             let _ = meter.force_flush();
         }
+        drop(self.writer.take());
     }
 }
 
@@ -149,24 +197,110 @@
     Some(provider.with_batch_exporter(exporter).build())
 }
 
-fn meter(endpoint: &str, process: &str) -> Option<SdkMeterProvider> {
-    let exporter = MetricExporter::builder()
-        .with_http()
-        .with_http_client(CollectorClient(Handle::current()))
-        .with_endpoint(format!("{endpoint}/v1/metrics"))
-        .build()
-        .inspect_err(|error| tracing::warn!("telemetry: no metrics: {error}"))
-        .ok()?;
-    let interval = Duration::from_millis(METRIC_INTERVAL_MS);
-    let reader = PeriodicReader::builder(exporter)
-        .with_interval(interval)
-        .build();
-    Some(
-        SdkMeterProvider::builder()
-            .with_resource(resource(process))
-            .with_reader(reader)
-            .build(),
-    )
+/// The lines of one kind in the current second.
+struct Budget {
+    second: AtomicU64,
+    lines: AtomicU64,
+}
+
+static SUCCESSES: Budget = Budget::new();
+static OTHERS: Budget = Budget::new();
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+impl Budget {
+    const fn new() -> Self {
+        Self {
+            second: AtomicU64::new(0),
+            lines: AtomicU64::new(0),
+        }
+    }
+
+    fn allows(&self) -> bool {
+        let second = clock::boot_ms() / 1000;
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        let allowed = self.lines.fetch_add(1, Ordering::Relaxed) < LINES_PER_S;
+        LEFT_OUT.fetch_add(u64::from(!allowed), Ordering::Relaxed);
+        allowed
+    }
+}
+
+/// Lets so many lines through. Lines on success have a budget of their own, so that a flood
+/// of them leaves room for refusals and failures.
+fn within_budget<S>() -> DynFilterFn<S, impl Fn(&Metadata<'_>, &Context<'_, S>) -> bool>
+where
+    S: tracing::Subscriber,
+{
+    dynamic_filter_fn(|metadata: &Metadata<'_>, _: &Context<'_, S>| {
+        let is_success =
+            *metadata.level() >= Level::INFO && metadata.target().starts_with("guavacove::gateway");
+        match (metadata.is_event(), is_success) {
+            (false, _) => true,
+            (true, true) => SUCCESSES.allows(),
+            (true, false) => OTHERS.allows(),
+        }
+    })
+}
+
+/// Says once a second how many lines were left out, if any.
+async fn report_left_out(dropped: ErrorCounter) {
+    let mut told_dropped = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(LEFT_OUT_INTERVAL_MS)).await;
+        let over_budget = LEFT_OUT.swap(0, Ordering::Relaxed);
+        let unwritten = dropped.dropped_lines() - told_dropped;
+        told_dropped += unwritten;
+        if over_budget > 0 || unwritten > 0 {
+            metrics::log_lines_left_out(over_budget + unwritten as u64);
+            tracing::warn!(over_budget, unwritten, "log: lines left out");
+        }
+    }
+}
+
+fn meter(settings: &TelemetrySettings, process: &str) -> Option<SdkMeterProvider> {
+    let mut provider = SdkMeterProvider::builder().with_resource(resource(process));
+    let mut has_reader = false;
+    if let Some(endpoint) = &settings.otlp_endpoint {
+        let exporter = MetricExporter::builder()
+            .with_http()
+            .with_http_client(CollectorClient(Handle::current()))
+            .with_endpoint(format!("{endpoint}/v1/metrics"))
+            .build()
+            .inspect_err(|error| tracing::warn!("telemetry: no metrics: {error}"))
+            .ok()?;
+        let interval = Duration::from_millis(METRIC_INTERVAL_MS);
+        let reader = PeriodicReader::builder(exporter)
+            .with_interval(interval)
+            .build();
+        (provider, has_reader) = (provider.with_reader(reader), true);
+    }
+    if let Some(address) = settings.metrics {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .inspect_err(|error| tracing::warn!("telemetry: no metrics: {error}"))
+            .ok()?;
+        (provider, has_reader) = (provider.with_reader(exporter), true);
+        tokio::spawn(serve_metrics(address, registry));
+    }
+    has_reader.then(|| provider.build())
+}
+
+/// Serves metrics as Prometheus text until the process ends.
+async fn serve_metrics(address: SocketAddr, registry: Registry) {
+    let handle = move |_: Request<Incoming>| {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&registry.gather(), &mut text) {
+            tracing::warn!(%error, "telemetry: metrics cannot be written");
+        }
+        async move { Response::new(Full::new(Bytes::from(text))) }
+    };
+    match HttpServer::bind(address, "telemetry", handle).await {
+        Ok(_server) => std::future::pending().await,
+        Err(error) => tracing::warn!(%address, %error, "telemetry: metrics are not served"),
+    }
 }
 
 #[derive(Default)]
