--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -10,6 +10,7 @@
     dev,
     dialect::Dialect,
     entry::Entry,
+    explain_log,
     gateway::Gateway,
     settings::{
         AgentSettings, ControlSettings, EntrySettings, GatewaySettings, KeeperSettings, Settings,
@@ -183,12 +184,15 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 struct ExplainCommand {
-    /// the request's id, from the header guavacove-request-id
+    /// the request's id, from the header guavacove-request-id or as its caller sent it
     #[argh(positional)]
-    request: RequestId,
+    request: String,
     /// the admin address of an entry; may be repeated
     #[argh(option)]
     entry: Vec<SocketAddr>,
+    /// a file with JSON log lines of any processes, - for standard input; may be repeated
+    #[argh(option)]
+    log: Vec<PathBuf>,
 }
 
 /// Run every role and stand-in targets in one process, for a first look.
@@ -317,9 +321,14 @@
                 undo,
             }) => commands::order(control, target, Order::Drain(!undo)).await,
             Self::Order(command) => command.run().await,
-            Self::Explain(ExplainCommand { request, entry }) => {
-                commands::explain(entry, request).await
-            }
+            Self::Explain(ExplainCommand {
+                request,
+                entry,
+                log,
+            }) => match log.is_empty() {
+                true => commands::explain(entry, &request).await,
+                false => explain_log::run(&log, &request),
+            },
             Self::Dev(command) => dev::run(command.port).await,
             Self::StandInEngine(command) => command.run().await,
             Self::StandInPlain(command) => command.run().await,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -322,7 +322,10 @@
 ///
 /// # Errors
 /// Fails if none of them remembers it.
-pub async fn explain(entries: Vec<SocketAddr>, request: RequestId) -> Result<(), CommandError> {
+pub async fn explain(entries: Vec<SocketAddr>, request: &str) -> Result<(), CommandError> {
+    let request: RequestId = request
+        .parse()
+        .map_err(|error| CommandError::Invalid(format!("{request}: {error}")))?;
     if entries.is_empty() {
         let message = "name the admin address of an entry with --entry ADDRESS".to_string();
         return Err(CommandError::Invalid(message));
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -276,7 +276,7 @@
                 reason,
                 error,
             })) => {
-                place.failed(&error);
+                place.unreachable(&error);
                 return Ok(Sent::NotRun(reason, error));
             }
             Ok(Err(CallError { reason, error, .. })) => {
@@ -334,11 +334,18 @@
         progress: &mut Progress,
         last_id: Option<u64>,
     ) -> Option<Reply> {
-        let refusal = Refusal::may_have_run(Reason::TargetFailed, "the stream broke off");
-        self.try_again(inbound, progress, refusal).ok()?;
-        match self.send(inbound, progress, last_id).await {
-            Ok(Sent::Answered(reply)) if reply.response.status().is_success() => Some(*reply),
-            _ => None,
+        loop {
+            let refusal = Refusal::may_have_run(Reason::TargetFailed, "the stream broke off");
+            self.try_again(inbound, progress, refusal).ok()?;
+            match self.send(inbound, progress, last_id).await {
+                Ok(Sent::Answered(reply)) if reply.response.status().is_success() => {
+                    return Some(*reply);
+                }
+                Ok(Sent::NotRun(reason, message)) => {
+                    tracing::info!(request = inbound.id, %reason, message, "gateway: not resumed there");
+                }
+                Ok(Sent::Answered(_) | Sent::Failed(..)) | Err(_) => return None,
+            }
         }
     }
 
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -31,10 +31,15 @@
 const FREE_PERCENT: u64 = 70;
 /// How far beyond its part a gateway goes, as targets keep a short queue of their own.
 const BEYOND_PERCENT: u64 = 130;
-/// How long a target is left alone that could not be reached, at first; twice as long
-/// each time, up to the most.
-const REST_MS: u64 = 500;
-const MOST_REST_MS: u64 = 4000;
+/// How long a target is left alone that could not be reached, at first; twice as long each
+/// time, up to the most. A target that has crashed leaves the directory about as late.
+const UNREACHABLE_REST_MS: u64 = 1000;
+const MOST_REST_MS: u64 = 8000;
+/// A target rests that fails a larger part of its requests of late: four in a row, or about
+/// every second one.
+const FAILING_PER_MILLE: u64 = 400;
+/// For how long.
+const FAILING_REST_MS: u64 = 1000;
 /// How long a target is left alone that said that it is full.
 const FULL_REST_MS: u64 = 100;
 /// How long a measured time to the first event is believed.
@@ -82,7 +87,8 @@
     measured_at_ms: u64,
     rests_until_ms: u64,
     rest_ms: u64,
-    failures: u64,
+    /// The part of requests that failed of late.
+    failed_per_mille: u64,
     /// How long a request would have waited there, and when that was said.
     wait: Option<(u64, u64)>,
 }
@@ -496,7 +502,7 @@
         known.first_ms = Some((lately * 3 + first_ms) / 4);
         known.measured_at_ms = clock::boot_ms();
         known.rest_ms = 0;
-        known.failures = 0;
+        known.failed_per_mille = known.failed_per_mille * 7 / 8;
     }
 
     /// Notes that the request was answered to its end.
@@ -510,16 +516,32 @@
         }
     }
 
-    /// Leaves the target alone for a while: it could not be reached, or it failed.
-    pub fn failed(&self, error: &str) {
+    /// Leaves the target alone for a while, longer each time: it could not be reached.
+    pub fn unreachable(&self, error: &str) {
         let mut state = self.targets.state();
         let known = state.known.entry(self.target.name.clone()).or_default();
-        known.failures += 1;
-        known.rest_ms = (known.rest_ms * 2).clamp(REST_MS, MOST_REST_MS);
+        known.rest_ms = (known.rest_ms * 2).clamp(UNREACHABLE_REST_MS, MOST_REST_MS);
         known.rests_until_ms = clock::boot_ms() + known.rest_ms;
         tracing::warn!(
-            target = %self.target.name, rest_ms = known.rest_ms, failures = known.failures, error,
-            "gateway: target failed and rests"
+            target = %self.target.name, rest_ms = known.rest_ms, error,
+            "gateway: target not reached and rests"
+        );
+    }
+
+    /// Notes that the target failed a request. It rests if it has failed often of late; one
+    /// failure now and then is ordinary.
+    pub fn failed(&self, error: &str) {
+        let mut state = self.targets.state();
+        let known = state.known.entry(self.target.name.clone()).or_default();
+        known.failed_per_mille = known.failed_per_mille * 7 / 8 + 1000 / 8;
+        let rest_ms = match known.failed_per_mille > FAILING_PER_MILLE {
+            true => FAILING_REST_MS,
+            false => 0,
+        };
+        known.rests_until_ms = known.rests_until_ms.max(clock::boot_ms() + rest_ms);
+        tracing::warn!(
+            target = %self.target.name, rest_ms, failed_per_mille = known.failed_per_mille, error,
+            "gateway: target failed"
         );
     }
 
--- a/src/gateway/waiting_line.rs
+++ b/src/gateway/waiting_line.rs
@@ -16,6 +16,10 @@
 /// its work: a request that has waited this many times its work goes before any new one.
 const AGING: u64 = 4;
 
+/// Only this part of the expected work counts against a deadline: lengths are estimated by
+/// callers, and half of the answers are shorter.
+const WORK_DOUBT: u64 = 2;
+
 record! {
     /// A request that waits.
     #[derive(Copy)]
@@ -112,9 +116,10 @@
         (self.rank, late, anew, self.urgency(now_ms), ticket)
     }
 
-    /// Whether its caller would not get the answer if it got a place then.
+    /// Whether its caller would have left before the answer if it got a place then.
     pub fn is_hopeless(&self, placed_ms: u64) -> bool {
-        placed_ms > self.begin_by_ms || placed_ms + self.work_ms > self.deadline_at_ms
+        let ends_ms = placed_ms + self.work_ms / WORK_DOUBT;
+        placed_ms > self.begin_by_ms || ends_ms > self.deadline_at_ms
     }
 
     fn is_late(&self, now_ms: u64) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 pub mod document_types;
 pub mod entry;
+pub mod explain_log;
 pub mod gateway;
 pub mod grants;
 pub mod http_server;
