--- a/benches/measures.rs
+++ b/benches/measures.rs
@@ -362,6 +362,8 @@
         load: ProcessLoad::default(),
         members_wanted: false,
         members_seen: None,
+        targets_seen: None,
+        demand: guavacove::control::shares::Demand::default(),
         orders: TargetOrders::default(),
         wait_ms: 800,
         goodbye: false,
--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -53,7 +53,7 @@
 /// See the module.
 #[derive(Debug)]
 pub struct Slots {
-    slots: u64,
+    places: u64,
     line: WaitingLine,
     waiting: BTreeMap<Ticket, (Entry, Waiting)>,
     tickets: BTreeMap<Holder, Ticket>,
@@ -71,7 +71,7 @@
 impl Default for Slots {
     fn default() -> Self {
         Self {
-            slots: 1,
+            places: 1,
             line: WaitingLine::default(),
             waiting: BTreeMap::new(),
             tickets: BTreeMap::new(),
@@ -90,7 +90,7 @@
 impl Slots {
     /// Takes a request for a place.
     pub fn ask(&mut self, holder: Holder, ask: &Ask, now_ms: u64) -> Vec<Outcome> {
-        self.slots = u64::from(ask.slots).max(1);
+        self.places = u64::from(ask.slots).max(1);
         let work_ms = self.work_ms(ask.work_units);
         let waiting = Waiting {
             rank: ask.rank,
@@ -179,7 +179,7 @@
 
     fn grant(&mut self, now_ms: u64) -> Vec<Outcome> {
         let mut outcomes = Vec::new();
-        while (self.holding.len() as u64) < self.slots {
+        while (self.holding.len() as u64) < self.places {
             let Some(ticket) = self.line.next(now_ms) else {
                 break;
             };
@@ -207,8 +207,7 @@
 
     fn measure_drain(&mut self, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.left_since_ms).min(DRAIN_MS);
-        if elapsed_ms > 0 {
-            let milli_per_s = self.left * 1_000_000 / elapsed_ms;
+        if let Some(milli_per_s) = (self.left * 1_000_000).checked_div(elapsed_ms) {
             let kept = self.drain_milli_per_s * (DRAIN_MS - elapsed_ms);
             self.drain_milli_per_s = (kept + milli_per_s * elapsed_ms) / DRAIN_MS;
             self.left = 0;
@@ -218,7 +217,7 @@
 
     /// How long a request would wait here behind what goes before it.
     fn expected_wait_ms(&self, waiting: &Waiting, now_ms: u64) -> u64 {
-        match (self.holding.len() as u64) < self.slots {
+        match (self.holding.len() as u64) < self.places {
             true => 0,
             false => self
                 .drain_ms(self.line.ahead_of(waiting, now_ms) + 1)
@@ -243,7 +242,7 @@
     /// How long it takes until so many have left the line.
     fn drain_ms(&self, count: usize) -> u64 {
         let run_ms = self.work_ms(self.run_units).max(1);
-        let served_milli_per_s = self.slots * 1_000_000 / run_ms;
+        let served_milli_per_s = self.places * 1_000_000 / run_ms;
         let milli_per_s = self.drain_milli_per_s.max(served_milli_per_s).max(1);
         count as u64 * 1_000_000 / milli_per_s
     }
--- a/src/consensus/storage.rs
+++ b/src/consensus/storage.rs
@@ -180,18 +180,14 @@
         write_synced(&self.folder, name, &frame(note)?)
     }
 
-    /// A write of a note that is not synced, to be made on another thread.
+    /// A write of a note, to be made on another thread as the disk may stall.
     pub fn note_writer<T: serde::Serialize>(
         &self,
         name: &str,
         note: &T,
     ) -> impl FnOnce() -> io::Result<()> + Send + 'static {
-        let (path, bytes) = (self.folder.join(name), frame(note));
-        move || {
-            let temporary = path.with_extension("tmp");
-            fs::write(&temporary, bytes?)?;
-            fs::rename(temporary, path)
-        }
+        let (folder, name, bytes) = (self.folder.clone(), name.to_string(), frame(note));
+        move || write_synced(&folder, &name, &bytes?)
     }
 
     /// Reads a note; `None` if there is none or it cannot be read.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -148,6 +148,7 @@
 }
 
 /// The actor's state.
+#[allow(clippy::struct_excessive_bools)]
 pub struct ReplicaState {
     started_ms: u64,
     core: Core,
@@ -481,8 +482,8 @@
         }
     }
 
-    /// Keeps what is known on disk, on another thread as the disk may stall. It is not
-    /// synced: nothing depends on it but how soon service begins after a restart.
+    /// Keeps what is known on disk, on another thread as the disk may stall. Nothing depends
+    /// on it but how soon service begins after a restart.
     fn keep_known(&mut self, now_ms: u64) {
         if !self.known_changed || now_ms < self.known_kept_ms + KNOWN_INTERVAL_MS {
             return;
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -30,6 +30,7 @@
     }
 
     /// What an instance says of itself.
+    #[allow(clippy::struct_excessive_bools)]
     pub struct Presence {
         /// Its replica.
         pub replica: ReplicaId,
@@ -270,7 +271,7 @@
             Discovery::Seeds(_) => {
                 let lost = |old: &ReplicaId| silent(&old) || successor(old).is_some();
                 let grows = learners >= 2 && voters + 2 <= MOST_VOTERS;
-                voters % 2 == 0 || grows || membership.voters.iter().any(lost)
+                voters.is_multiple_of(2) || grows || membership.voters.iter().any(lost)
             }
         };
         let seeds = matches!(self.discovery, Discovery::Seeds(_));
@@ -279,7 +280,7 @@
             () if let Some(id) = replaced_learner => Some(MembershipChange::Remove(*id)),
             () if let Some(id) = silent_voter
                 && seeds
-                && voters % 2 == 0 =>
+                && voters.is_multiple_of(2) =>
             {
                 Some(MembershipChange::Remove(*id))
             }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -265,7 +265,7 @@
             ));
         };
         let sent_ms = clock::boot_ms();
-        let patience_ms = self.patience_ms(inbound, progress);
+        let patience_ms = Self::patience_ms(inbound, progress);
         let calling = self.connections.call(&place.target, request);
         let called = timeout(Duration::from_millis(patience_ms), calling).await;
         let took_ms = clock::boot_ms() - sent_ms;
@@ -410,7 +410,7 @@
     }
 
     /// How long a send may take to be answered before the request is tried elsewhere.
-    fn patience_ms(&self, inbound: &Inbound, progress: &Progress) -> u64 {
+    fn patience_ms(inbound: &Inbound, progress: &Progress) -> u64 {
         let left_ms = inbound.left_ms();
         let route = &inbound.route;
         let another = progress.runs + 1 < route.max_targets;
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -195,7 +195,7 @@
         let elapsed_ms = now_ms.saturating_sub(self.asked_since_ms);
         if elapsed_ms >= DEMAND_MS {
             let per_s = self.asked_units * 1000 / elapsed_ms;
-            self.demand_per_s = (self.demand_per_s + per_s) / 2;
+            self.demand_per_s = u64::midpoint(self.demand_per_s, per_s);
             self.asked_units = 0;
             self.asked_since_ms = now_ms;
         }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -247,7 +247,7 @@
             if line_is_empty && self.has_room(&state, want.service) {
                 return self.choose(&mut state, want, now_ms);
             }
-            self.join(&mut state, want, now_ms)?
+            Self::join(&mut state, want, now_ms)?
         };
         let (ticket, woken) = waits;
         let guard = Waits {
@@ -417,7 +417,6 @@
 
     /// Joins the line, unless the wait would be longer than there is time.
     fn join(
-        &self,
         state: &mut State,
         want: &Want,
         now_ms: u64,
--- a/src/gateway/waiting_line.rs
+++ b/src/gateway/waiting_line.rs
@@ -129,6 +129,6 @@
     /// Smaller goes first: short work, less what it has waited.
     fn urgency(&self, now_ms: u64) -> i64 {
         let waited_ms = now_ms.saturating_sub(self.arrived_ms);
-        self.work_ms as i64 - (waited_ms * AGING) as i64
+        self.work_ms.cast_signed() - (waited_ms * AGING).cast_signed()
     }
 }
--- a/tests/gateway_rules.rs
+++ b/tests/gateway_rules.rs
@@ -47,9 +47,9 @@
 /// However a stream is cut into reads, the same whole events come out, and the last id is
 /// that of the last whole one.
 fn events_come_whole(count: u8, cuts: Vec<u8>) -> bool {
-    let text: String = (1..=count)
-        .map(|id| format!("id: {id}\ndata: {{\"n\":{id}}}\n\n"))
-        .collect();
+    let text = (1..=count).fold(String::new(), |text, id| {
+        format!("{text}id: {id}\ndata: {{\"n\":{id}}}\n\n")
+    });
     let half = "id: 999\ndata: cut o";
     let bytes = format!("{text}{half}").into_bytes();
     let (mut events, mut out, mut at) = (Events::default(), Vec::new(), 0);
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -101,3 +101,16 @@
     a_missing_log_is_refused => missing;
     a_folder_in_use_is_refused => locked;
 }
+
+#[test]
+fn a_note_is_read_back_after_a_restart_and_a_damaged_one_is_left_out() {
+    let folder = tempfile::tempdir().unwrap();
+    let (storage, _) = Storage::open(folder.path(), 1).unwrap();
+    assert_eq!(storage.read_note::<Vec<u32>>("known"), None);
+    storage.note_writer("known", &vec![1u32, 2, 3])().unwrap();
+    drop(storage);
+    let (storage, _) = Storage::open(folder.path(), 1).unwrap();
+    assert_eq!(storage.read_note::<Vec<u32>>("known"), Some(vec![1, 2, 3]));
+    std::fs::write(folder.path().join("known"), b"torn").unwrap();
+    assert_eq!(storage.read_note::<Vec<u32>>("known"), None);
+}
