--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -283,12 +283,16 @@
                 progress.arrivals += 1;
                 progress.runs += 1;
                 place.failed(&error);
-                return Ok(Sent::Failed(reason, error));
+                let message = format!("target {}: {error}", place.target.name);
+                return Ok(Sent::Failed(reason, message));
             }
             Err(_) => {
                 progress.arrivals += 1;
                 progress.runs += 1;
-                let message = format!("no answer within {took_ms} ms");
+                let message = format!(
+                    "no answer of target {} within {took_ms} ms",
+                    place.target.name
+                );
                 place.failed(&message);
                 return Ok(Sent::Failed(Reason::Expired, message));
             }
@@ -344,7 +348,19 @@
                 Ok(Sent::NotRun(reason, message)) => {
                     tracing::info!(request = inbound.id, %reason, message, "gateway: not resumed there");
                 }
-                Ok(Sent::Answered(_) | Sent::Failed(..)) | Err(_) => return None,
+                Ok(Sent::Answered(reply)) => {
+                    let (target, status) = (&reply.place.target.name, reply.response.status());
+                    tracing::warn!(request = inbound.id, %target, status = status.as_u16(), "gateway: not resumed");
+                    return None;
+                }
+                Ok(Sent::Failed(reason, message)) => {
+                    tracing::warn!(request = inbound.id, %reason, message, "gateway: not resumed");
+                    return None;
+                }
+                Err(refusal) => {
+                    tracing::warn!(request = inbound.id, reason = %refusal.reason, message = refusal.message, "gateway: not resumed");
+                    return None;
+                }
             }
         }
     }
@@ -468,6 +484,7 @@
         if failed {
             let message = format!("the target failed with {}", status.as_u16());
             place.failed(&message);
+            let message = format!("target {}: {message}", place.target.name);
             let refusal = Refusal::may_have_run(Reason::TargetFailed, message);
             if self.try_again(inbound, progress, refusal).is_ok() {
                 return Ok(None);
