--- a/src/consensus/storage.rs
+++ b/src/consensus/storage.rs
@@ -87,12 +87,35 @@
 pub struct Storage {
     folder: PathBuf,
     log_path: PathBuf,
-    log_file: File,
+    /// `None` where there is no disk.
+    log_file: Option<File>,
     log_bytes: u64,
-    _lock: File,
+    _lock: Option<File>,
 }
 
 impl Storage {
+    /// A replica without a disk: it forgets everything when it stops, and is a new one then.
+    pub fn in_memory(number: u8) -> (Self, Durable) {
+        let id = ReplicaId {
+            number,
+            disk: crate::units::Incarnation::random().0,
+        };
+        let storage = Self {
+            folder: PathBuf::new(),
+            log_path: PathBuf::new(),
+            log_file: None,
+            log_bytes: 0,
+            _lock: None,
+        };
+        let durable = Durable {
+            id,
+            hard: HardState::default(),
+            log: Log::default(),
+            cut_bytes: 0,
+        };
+        (storage, durable)
+    }
+
     /// Opens or creates a replica's files. A new folder gets a new replica id.
     ///
     /// # Errors
@@ -131,9 +154,9 @@
             Self {
                 folder: folder.into(),
                 log_path,
-                log_file,
+                log_file: Some(log_file),
                 log_bytes: end as u64,
-                _lock: lock,
+                _lock: Some(lock),
             },
             durable,
         ))
@@ -145,7 +168,7 @@
     /// # Errors
     /// Fails if the disk does. The same may be saved again then, but nothing else.
     pub fn save(&mut self, persist: Persist, log: &Log, hard: &HardState) -> io::Result<()> {
-        if persist.is_empty() {
+        if persist.is_empty() || self.log_file.is_none() {
             return Ok(());
         }
         if let Some(snapshot) = persist.snapshot {
@@ -162,12 +185,14 @@
             entries,
             hard,
         })?;
-        // What an earlier try may have left behind.
-        if self.log_file.metadata()?.len() != self.log_bytes {
-            self.log_file.set_len(self.log_bytes)?;
+        if let Some(log_file) = &mut self.log_file {
+            // What an earlier try may have left behind.
+            if log_file.metadata()?.len() != self.log_bytes {
+                log_file.set_len(self.log_bytes)?;
+            }
+            log_file.write_all(&bytes)?;
+            log_file.sync_data()?;
         }
-        self.log_file.write_all(&bytes)?;
-        self.log_file.sync_data()?;
         self.log_bytes += bytes.len() as u64;
         Ok(())
     }
@@ -177,7 +202,10 @@
     /// # Errors
     /// Fails if the disk does; the old note is kept then.
     pub fn write_note<T: serde::Serialize>(&self, name: &str, note: &T) -> io::Result<()> {
-        write_synced(&self.folder, name, &frame(note)?)
+        match self.log_file {
+            Some(_) => write_synced(&self.folder, name, &frame(note)?),
+            None => Ok(()),
+        }
     }
 
     /// A write of a note, to be made on another thread as the disk may stall.
@@ -186,12 +214,17 @@
         name: &str,
         note: &T,
     ) -> impl FnOnce() -> io::Result<()> + Send + 'static {
-        let (folder, name, bytes) = (self.folder.clone(), name.to_string(), frame(note));
-        move || write_synced(&folder, &name, &bytes?)
+        let folder = self.log_file.is_some().then(|| self.folder.clone());
+        let (name, bytes) = (name.to_string(), frame(note));
+        move || match folder {
+            Some(folder) => write_synced(&folder, &name, &bytes?),
+            None => Ok(()),
+        }
     }
 
     /// Reads a note; `None` if there is none or it cannot be read.
     pub fn read_note<T: serde::de::DeserializeOwned>(&self, name: &str) -> Option<T> {
+        self.log_file.as_ref()?;
         let path = self.folder.join(name);
         let bytes = fs::read(&path).ok()?;
         let note = parse_frame(&bytes, 0).and_then(|(payload, _)| decode(&path, payload).ok());
@@ -220,7 +253,7 @@
         if old_path != self.log_path {
             let _ = fs::remove_file(old_path);
         }
-        self.log_file = OpenOptions::new().append(true).open(&self.log_path)?;
+        self.log_file = Some(OpenOptions::new().append(true).open(&self.log_path)?);
         self.log_bytes = bytes.len() as u64;
         Ok(())
     }
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -145,14 +145,19 @@
     }
 
     fn turn_to(&self, asked: SocketAddr, hint: SocketAddr) {
-        let hinted = {
-            let instances = self.instances.lock().expect("no holder panics");
-            instances.iter().position(|known| known.address == hint)
-        };
-        match hinted {
-            Some(hinted) if hint != asked => self.current.store(hinted, Ordering::Relaxed),
-            _ => self.turn_from(asked),
+        if hint == asked {
+            return self.turn_from(asked);
         }
+        let mut instances = self.instances.lock().expect("no holder panics");
+        let known = instances.iter().position(|known| known.address == hint);
+        let hinted = known.unwrap_or_else(|| {
+            instances.push(Instance {
+                address: hint,
+                client: None,
+            });
+            instances.len() - 1
+        });
+        self.current.store(hinted, Ordering::Relaxed);
     }
 
     fn turn_from(&self, asked: SocketAddr) {
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -71,7 +71,10 @@
         settings: &ControlSettings,
         dialect: D,
     ) -> Result<Self, ControlStartError> {
-        let (storage, durable) = Storage::open(&settings.replica_folder(), settings.number)?;
+        let (storage, durable) = match settings.data_folder.as_os_str().is_empty() {
+            true => Storage::in_memory(settings.number),
+            false => Storage::open(&settings.data_folder, settings.number)?,
+        };
         let own = settings.addresses();
         let peer_listener = TcpListener::bind(own.peer).await?;
         let arguments = ReplicaArguments {
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -21,6 +21,7 @@
     units::*,
 };
 use arc_swap::ArcSwap;
+use jsonrpsee::core::ClientError;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{
     collections::BTreeMap,
@@ -252,17 +253,20 @@
     /// Takes what any control instance knows, so that service begins without a leader.
     /// Returns whether one knew anything.
     async fn peek(&self, keeper: &ActorRef<Renewed>) -> bool {
-        let peek = self.client.call(
-            PEEK_MS,
-            PEEK_MS,
-            |client| async move { client.peek().await },
-        );
-        let Ok(known) = peek.await else {
-            return false;
+        let peek = self.client.call(PEEK_MS, PEEK_MS, |client| async move {
+            let known = client.peek().await?;
+            match known.document.version {
+                DocumentVersion(0) => Err(ClientError::Custom("it knows no document".into())),
+                _ => Ok(known),
+            }
+        });
+        let known = match peek.await {
+            Ok(known) => known,
+            Err(error) => {
+                tracing::debug!(%error, "view: no control instance knows a document");
+                return false;
+            }
         };
-        if known.document.version == DocumentVersion(0) {
-            return false;
-        }
         let targets = known.targets.into_iter().map(|target| target.entry);
         let reply = SyncReply {
             document: Some(known.document),
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -1,4 +1,4 @@
-//! A stream on its way from a target to a caller.
+//! Bodies of answers: whole ones, and streams on their way from a target to a caller.
 
 use super::{
     attempts::{Attempts, Progress, Reply},
@@ -11,12 +11,18 @@
 use crate::{clock, document::Repeat, metrics};
 use bytes::Bytes;
 use futures::Stream;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{
     Response,
-    body::{Frame, Incoming},
+    body::{Body, Frame, Incoming, SizeHint},
+};
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
 };
-use std::{io, sync::Arc, time::Duration};
 use tokio::time::timeout;
 
 /// How long a stream that may go on elsewhere may be silent, in stated pauses.
@@ -210,6 +216,49 @@
     }
 }
 
+/// The body of an answer to a caller.
+pub enum AnswerBody<S> {
+    /// All of it is here.
+    Whole(Full<Bytes>),
+    /// It is on its way.
+    Streams(StreamBody<Pin<Box<S>>>),
+}
+
+impl<S> Body for AnswerBody<S>
+where
+    S: Stream<Item = io::Result<Frame<Bytes>>>,
+{
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match self.get_mut() {
+            Self::Whole(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
+            }
+            Self::Streams(body) => Pin::new(body).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Streams(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Streams(body) => Body::size_hint(body),
+        }
+    }
+}
+
 impl<D> Drop for Relay<D> {
     fn drop(&mut self) {
         if !self.ended {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,6 +3,7 @@
 use super::{
     answer,
     attempts::{Answer, Attempts},
+    body::AnswerBody,
     connections::{self, Connections},
     dialect::TrafficDialect,
     inbound::Inbound,
@@ -26,7 +27,7 @@
     verdict::Reason,
 };
 use bytes::Bytes;
-use http_body_util::{Either, Full, StreamBody};
+use http_body_util::{Full, StreamBody};
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -40,7 +41,6 @@
 };
 use std::{
     convert::Infallible,
-    error::Error,
     io,
     net::SocketAddr,
     sync::{
@@ -282,7 +282,7 @@
     async fn answer(
         &self,
         request: Request<Incoming>,
-    ) -> Response<impl Body<Data = Bytes, Error = Box<dyn Error + Send + Sync>> + use<D>> {
+    ) -> Response<impl Body<Data = Bytes, Error = io::Error> + use<D>> {
         let view = self.view.load();
         let read = Inbound::read(request, &view, self.dialect).await;
         drop(view);
@@ -300,9 +300,9 @@
             Err((id, refusal)) => (id, Err(refusal)),
         };
         let mut response = match answered {
-            Ok(Answer::Whole(response)) => response.map(Either::Left),
+            Ok(Answer::Whole(response)) => response.map(AnswerBody::Whole),
             Ok(Answer::Streams(head, relay)) => {
-                head.map(|()| Either::Right(StreamBody::new(relay.into_stream())))
+                head.map(|()| AnswerBody::Streams(StreamBody::new(Box::pin(relay.into_stream()))))
             }
             Err(refusal) => {
                 metrics::gateway_refused(refusal.verdict, &refusal.reason);
@@ -311,7 +311,7 @@
                     retry_after_ms = refusal.retry_after_ms, why = refusal.message,
                     "gateway: refused"
                 );
-                answer::refuse(&refusal).map(Either::Left)
+                answer::refuse(&refusal).map(AnswerBody::Whole)
             }
         };
         if self.stopping.load(Ordering::Relaxed) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -220,9 +220,6 @@
 /// The part of what is tolerated beyond a quota that is handed out all the time; the rest
 /// covers what gateways hold at one moment.
 const BEYOND_QUOTA_PERCENT: u64 = 50;
-/// The folder of a replica that has no disk.
-const MEMORY_FOLDER: &str = "/tmp/guavacove-control";
-
 fn default_announcement_ms() -> u64 {
     1000
 }
@@ -415,14 +412,6 @@
         }
     }
 
-    /// The folder of this instance's replica.
-    pub fn replica_folder(&self) -> PathBuf {
-        match self.data_folder.as_os_str().is_empty() {
-            true => MEMORY_FOLDER.into(),
-            false => self.data_folder.clone(),
-        }
-    }
-
     /// What this instance says of itself, and how it finds the others.
     pub fn identity(&self) -> Identity {
         let QuotaTolerance { units, window_s } = self.quota_tolerance;
