Follow a leader's hint to an unknown address only where instances find each other

Change: only gateways, whose control group has no list, follow such hints; commands ask the instances that they were given, as before.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -38,6 +38,7 @@
     seeds: Vec<SocketAddr>,
     instances: Mutex<Vec<Instance>>,
     current: AtomicUsize,
+    discovers: bool,
 }
 
 struct Instance {
@@ -52,11 +53,21 @@
             seeds: addresses,
             instances: Mutex::default(),
             current: AtomicUsize::new(0),
+            discovers: false,
         };
         client.learn(&[]);
         client
     }
 
+    /// As [`Self::new`], but asks the leader also at an address that it was not given, as one
+    /// of them refers to it.
+    pub fn discovering(addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            discovers: true,
+            ..Self::new(addresses)
+        }
+    }
+
     /// Asks these instances from now on, besides those that it was made with.
     pub fn learn(&self, addresses: &[SocketAddr]) {
         let mut instances = self.instances.lock().expect("no holder panics");
@@ -145,11 +156,12 @@
     }
 
     fn turn_to(&self, asked: SocketAddr, hint: SocketAddr) {
-        if hint == asked {
-            return self.turn_from(asked);
-        }
         let mut instances = self.instances.lock().expect("no holder panics");
         let known = instances.iter().position(|known| known.address == hint);
+        if hint == asked || (known.is_none() && !self.discovers) {
+            drop(instances);
+            return self.turn_from(asked);
+        }
         let hinted = known.unwrap_or_else(|| {
             instances.push(Instance {
                 address: hint,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -114,7 +114,7 @@
             address: address.to_string(),
             target: None,
         };
-        let client = Arc::new(ControlClient::new(settings.control_addresses()));
+        let client = Arc::new(ControlClient::discovering(settings.control_addresses()));
         let view = Arc::new(ControlView::spawn(Arc::clone(&client), member));
         let targets = Targets::new(
             Arc::clone(&view),
