--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -45,8 +45,8 @@
 /// How many log lines wait for the writer at most; more are left out and counted.
 const QUEUED_LINES: usize = 4096;
 /// How many lines a second are written of each kind at most: on success, and on refusals,
-/// failures and changes of what the process believes. A few hundred cost a small instance
-/// about a hundredth of its processor.
+/// failures and changes of what the process believes. Not measured yet: what a line
+/// costs.
 const LINES_PER_S: u64 = 300;
 /// How often it is said how many lines were left out.
 const LEFT_OUT_INTERVAL_MS: u64 = 1000;
