Count a view from the try that was answered, and begin with what any control instance knows

Cause 1 (the known red a_leaving_target_refuses_what_comes_late): a view counted from when a renewal was first tried. While leadership changed, a renewal was tried for up to 1.5 s, so that the view which it brought ran out up to 1.5 s early; an agent then refused with its target ready. Cause 2, found while tracing: a change of what a process says of itself gives up the renewal that is due, and the next one was held back once more. Cause 3: entries and agents learnt control addresses beside those in their settings. Those without a disk know nothing after a restart, so nothing was served until a leader was elected (0.8 s) and found (0.2 s more, 50 ms between two tries).

Ruled out: lost links between entries and agents, announcements of targets that ran out.

Change: the time of the answered try; a renewal after such a change is answered at once; only clients that are to discover instances learn addresses; a gateway without a document asks all instances at once, apart from renewals, and those tell which others there are; a hint to the leader is followed without a pause; a new leader says at once that it leads.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -1,6 +1,7 @@
 //! Calls the control group's leader, wherever it is.
 
 use super::rpc::*;
+use futures::{StreamExt, stream::FuturesUnordered};
 use jsonrpsee::{
     core::ClientError,
     http_client::{HttpClient, HttpClientBuilder},
@@ -46,17 +47,38 @@
     client: Option<HttpClient>,
 }
 
+impl Instance {
+    fn client(&mut self, attempt_ms: u64) -> Option<HttpClient> {
+        if self.client.is_none() {
+            let built = HttpClientBuilder::default()
+                .request_timeout(Duration::from_millis(attempt_ms.max(5000) * 2))
+                .max_response_size(REPLY_LIMIT_BYTES)
+                .max_request_size(REPLY_LIMIT_BYTES)
+                .build(format!("http://{}", self.address));
+            match built {
+                Ok(client) => self.client = Some(client),
+                Err(error) => {
+                    tracing::warn!(address = %self.address, %error, "control client: not usable");
+                }
+            }
+        }
+        self.client.clone()
+    }
+}
+
 impl ControlClient {
     /// A client of the instances at these RPC addresses.
     pub fn new(addresses: Vec<SocketAddr>) -> Self {
-        let client = Self {
+        let instance = |address: &SocketAddr| Instance {
+            address: *address,
+            client: None,
+        };
+        Self {
+            instances: Mutex::new(addresses.iter().map(instance).collect()),
             seeds: addresses,
-            instances: Mutex::default(),
             current: AtomicUsize::new(0),
             discovers: false,
-        };
-        client.learn(&[]);
-        client
+        }
     }
 
     /// As [`Self::new`], but asks the leader also at an address that it was not given, as one
@@ -68,12 +90,17 @@
         }
     }
 
-    /// Asks these instances from now on, besides those that it was made with.
-    pub fn learn(&self, addresses: &[SocketAddr]) {
+    /// Asks these instances from now on, besides those that it was made with, if instances
+    /// find each other; returns whether one of them is new.
+    pub fn learn(&self, addresses: &[SocketAddr]) -> bool {
+        if !self.discovers {
+            return false;
+        }
         let mut instances = self.instances.lock().expect("no holder panics");
         let wanted =
             |address: &SocketAddr| self.seeds.contains(address) || addresses.contains(address);
         instances.retain(|instance| wanted(&instance.address));
+        let before = instances.len();
         for address in self.seeds.iter().chain(addresses) {
             if !instances.iter().any(|known| known.address == *address) {
                 instances.push(Instance {
@@ -82,23 +109,44 @@
                 });
             }
         }
+        instances.len() > before
     }
 
     /// The instance to ask next and a client of it.
     fn client(&self, attempt_ms: u64) -> (SocketAddr, Option<HttpClient>) {
         let mut instances = self.instances.lock().expect("no holder panics");
         let position = self.current.load(Ordering::Relaxed) % instances.len();
-        let Instance { address, client } = &mut instances[position];
-        if client.is_none() {
-            let url = format!("http://{address}");
-            *client = HttpClientBuilder::default()
-                .request_timeout(Duration::from_millis(attempt_ms.max(5000) * 2))
-                .max_response_size(REPLY_LIMIT_BYTES)
-                .max_request_size(REPLY_LIMIT_BYTES)
-                .build(url)
-                .ok();
+        let instance = &mut instances[position];
+        (instance.address, instance.client(attempt_ms))
+    }
+
+    /// Asks every instance at once, led or not; returns the first reply that `useful` takes.
+    pub async fn ask_all<T, F>(
+        &self,
+        attempt_ms: u64,
+        call: impl Fn(HttpClient) -> F,
+        useful: impl Fn(&T) -> bool,
+    ) -> Option<T>
+    where
+        F: Future<Output = Result<T, ClientError>>,
+    {
+        let mut calls: FuturesUnordered<_> = {
+            let mut instances = self.instances.lock().expect("no holder panics");
+            let clients = instances.iter_mut();
+            clients
+                .filter_map(|instance| instance.client(attempt_ms))
+                .map(|client| timeout(Duration::from_millis(attempt_ms), call(client)))
+                .collect()
+        };
+        while let Some(outcome) = calls.next().await {
+            match outcome {
+                Ok(Ok(reply)) if useful(&reply) => return Some(reply),
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => tracing::debug!(%error, "control client: no reply"),
+                Err(_) => tracing::debug!(attempt_ms, "control client: no reply in time"),
+            }
         }
-        (*address, client.clone())
+        None
     }
 
     fn drop_connection(&self, address: SocketAddr) {
@@ -124,6 +172,7 @@
         F: Future<Output = Result<T, ClientError>>,
     {
         let deadline = Instant::now() + Duration::from_millis(total_ms);
+        let mut hinted = false;
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -147,20 +196,27 @@
                 Some(invalid @ ControlError::Invalid(_)) => {
                     return Err(ControlCallError::Refused(invalid));
                 }
-                Some(ControlError::NotLeader(Some(hint))) => self.turn_to(address, hint.rpc),
+                Some(ControlError::NotLeader(Some(hint))) if self.turn_to(address, hint.rpc) => {
+                    // Followed at once, unless instances refer to each other.
+                    hinted = !hinted;
+                    if hinted {
+                        continue;
+                    }
+                }
                 Some(ControlError::Unresolved) => {}
-                Some(ControlError::NotLeader(None)) | None => self.turn_from(address),
+                Some(ControlError::NotLeader(_)) | None => self.turn_from(address),
             }
+            hinted = false;
             sleep(Duration::from_millis(RETRY_MS).min(left)).await;
         }
     }
 
-    fn turn_to(&self, asked: SocketAddr, hint: SocketAddr) {
+    /// Asks the hinted instance next; returns whether it is another one that may be asked.
+    fn turn_to(&self, asked: SocketAddr, hint: SocketAddr) -> bool {
         let mut instances = self.instances.lock().expect("no holder panics");
         let known = instances.iter().position(|known| known.address == hint);
         if hint == asked || (known.is_none() && !self.discovers) {
-            drop(instances);
-            return self.turn_from(asked);
+            return false;
         }
         let hinted = known.unwrap_or_else(|| {
             instances.push(Instance {
@@ -170,6 +226,7 @@
             instances.len() - 1
         });
         self.current.store(hinted, Ordering::Relaxed);
+        true
     }
 
     fn turn_from(&self, asked: SocketAddr) {
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -40,6 +40,8 @@
 pub const TICK_MS: u64 = 25;
 /// How often a replica tells the others that it is there.
 const PRESENCE_MS: u64 = 300;
+/// The same while no leader is known: as often as a link that is down is tried again.
+const PRESENCE_WITHOUT_LEADER_MS: u64 = 100;
 /// How long a peer counts as present after it was heard of.
 pub const PRESENT_MS: u64 = 1500;
 /// How long a voter is silent before another replica may take its place: longer than a
@@ -159,13 +161,15 @@
     target_lease_ms: u64,
     beyond_quota_per_s: u64,
     announced_ms: u64,
+    /// The term in which this instance last said that it leads.
+    announced_term: Term,
     founding: bool,
     batch: Vec<(Command, Port<Reply>)>,
     pending: BTreeMap<LogIndex, (Term, Port<Reply>)>,
     members: Members,
     directory: Directory,
     /// What is known apart from the log: served without a leader, kept over a restart.
-    known: PeekReply,
+    known: Known,
     known_changed: bool,
     known_kept_ms: u64,
     spread: Option<directory::TargetsSeen>,
@@ -232,6 +236,7 @@
             target_lease_ms: identity.target_lease_ms,
             beyond_quota_per_s: identity.beyond_quota_per_s,
             announced_ms: 0,
+            announced_term: Term(0),
             founding: false,
             batch: Vec::new(),
             pending: BTreeMap::new(),
@@ -276,7 +281,10 @@
                 let _ = port.send(state.leased().map(|()| state.limit(&entry, &wants)));
             }
             ReplicaMessage::Peek(port) => {
-                let _ = port.send(Ok(state.known.clone()));
+                let _ = port.send(Ok(PeekReply {
+                    known: state.known.clone(),
+                    control: state.roster.rpc_addresses(state.now_ms()),
+                }));
             }
             ReplicaMessage::Get(port) => {
                 let reply = state.leased().map(|()| state.control.document().clone());
@@ -407,13 +415,22 @@
     fn tick(&mut self) -> Result<(), ActorProcessingErr> {
         self.step(Input::Tick)?;
         let now_ms = self.now_ms();
-        if now_ms >= self.announced_ms + PRESENCE_MS {
+        let leads = self.leased().is_ok();
+        // A new leader says so at once: instances without a vote refer callers to it.
+        let won = leads && self.announced_term != self.core.term();
+        let interval_ms = match self.not_leader() {
+            ControlError::NotLeader(None) if !leads => PRESENCE_WITHOUT_LEADER_MS,
+            _ => PRESENCE_MS,
+        };
+        if won || now_ms >= self.announced_ms + interval_ms {
             self.announced_ms = now_ms;
+            if leads {
+                self.announced_term = self.core.term();
+            }
             let in_group = !self.core.membership().is_empty();
             let membership = self.core.membership().clone();
             self.roster.forget_strangers(&membership, now_ms);
             self.peers.keep(&self.roster.contacts());
-            let leads = self.leased().is_ok();
             let presence = self.roster.presence(in_group, leads);
             self.peers.broadcast(&PeerMessage::Present(presence));
         }
@@ -433,6 +450,8 @@
             PeerMessage::Present(presence) => {
                 let now_ms = self.now_ms();
                 if self.roster.hear(presence, now_ms) {
+                    // Whoever is new hears of this instance, and of all that it knows, at once.
+                    self.announced_ms = 0;
                     self.peers.keep(&self.roster.contacts());
                     let known = self.roster.addresses();
                     if let Err(error) = self.storage.write_note(INSTANCES_NOTE, known) {
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -66,13 +66,22 @@
 
     /// What any replica knows for itself: committed, but perhaps not the latest.
     #[derive(Default)]
-    pub struct PeekReply {
+    pub struct Known {
         /// The document; version 0 if none is known.
         pub document: AcceptedDocument,
         /// The targets.
         pub targets: Vec<TargetAnnouncement>,
     }
 
+    /// What any control instance answers, led or not.
+    #[derive(Default)]
+    pub struct PeekReply {
+        /// What its replica knows.
+        pub known: Known,
+        /// The RPC addresses of the control instances that it has heard of lately.
+        pub control: Vec<std::net::SocketAddr>,
+    }
+
     /// The answer to a change of the document.
     pub enum ApplyReply {
         /// It is accepted.
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -21,11 +21,13 @@
     units::*,
 };
 use arc_swap::ArcSwap;
-use jsonrpsee::core::ClientError;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 use tokio::sync::watch;
@@ -39,6 +41,11 @@
 const RENEWAL_TIMEOUT_MS: u64 = 1500;
 /// How long a look at what any control instance knows may take.
 const PEEK_MS: u64 = 300;
+/// How long to wait after the first look that found nothing; then half as long again each
+/// time.
+const PEEK_PAUSE_MS: u64 = 50;
+/// The longest wait between two looks: a group that has no document yet is asked by many.
+const LONGEST_PEEK_PAUSE_MS: u64 = 1000;
 /// How long a goodbye may take.
 const GOODBYE_TIMEOUT_MS: u64 = 1000;
 
@@ -160,7 +167,10 @@
     pub async fn goodbye(&self) {
         let member = self.announcement.borrow().clone();
         let (load, demand) = (ProcessLoad::default(), Demand::default());
-        let request = request(member, load, demand, &self.load(), true);
+        let request = SyncRequest {
+            goodbye: true,
+            ..request(member, load, demand, &self.load(), 0)
+        };
         let call = self
             .client
             .call(GOODBYE_TIMEOUT_MS, GOODBYE_TIMEOUT_MS, |client| {
@@ -176,7 +186,7 @@
     load: ProcessLoad,
     demand: Demand,
     view: &View,
-    goodbye: bool,
+    wait_ms: u64,
 ) -> SyncRequest {
     SyncRequest {
         load,
@@ -186,8 +196,8 @@
         members_wanted: member.role == ProcessRole::Entry,
         members_seen: view.members_seen.clone(),
         orders: view.orders.clone(),
-        wait_ms: if goodbye { 0 } else { RENEWAL_WAIT_MS },
-        goodbye,
+        wait_ms,
+        goodbye: false,
         member,
     }
 }
@@ -203,29 +213,40 @@
 impl Renewing {
     async fn run(mut self, keeper: ActorRef<Renewed>) {
         let mut lost = false;
-        let mut peeked = self.announced.borrow().role != ProcessRole::Gateway;
+        let mut wait_ms = RENEWAL_WAIT_MS;
+        if self.announced.borrow().role == ProcessRole::Gateway {
+            let peeking = Peeking {
+                client: Arc::clone(&self.client),
+                view: Arc::clone(&self.view),
+            };
+            tokio::spawn(peeking.run(keeper.clone()));
+        }
         loop {
-            if !peeked && self.view.load().policy.version == DocumentVersion(0) {
-                peeked = self.peek(&keeper).await;
-            }
             let member = self.announced.borrow_and_update().clone();
-            let sent_ms = clock::boot_ms();
             let demand = self.demand.lock().expect("no holder panics").clone();
             let load = self.load.lock().expect("no holder panics").clone();
-            let request = request(member, load, demand, &self.view.load(), false);
+            let request = request(member, load, demand, &self.view.load(), wait_ms);
+            // Of the last try: those before it may have taken long, and told nothing.
+            let sent_ms = AtomicU64::new(0);
             let renewal = self
                 .client
                 .call(RENEWAL_TIMEOUT_MS, RENEWAL_TIMEOUT_MS, |client| {
+                    sent_ms.store(clock::boot_ms(), Ordering::Relaxed);
                     let request = request.clone();
                     async move { client.sync(request).await }
                 });
             let reply = tokio::select! {
                 reply = renewal => reply,
                 changed = self.announced.changed() => match changed {
-                    Ok(()) => continue,
+                    Ok(()) => {
+                        // The view was due to be renewed by the call that is given up.
+                        wait_ms = 0;
+                        continue;
+                    }
                     Err(_) => return,
                 },
             };
+            wait_ms = RENEWAL_WAIT_MS;
             match reply {
                 Ok(reply) => {
                     if lost {
@@ -235,7 +256,7 @@
                     self.client.learn(&reply.control);
                     let _ = ractor::call!(keeper, |done| Renewed {
                         reply,
-                        sent_ms: Some(sent_ms),
+                        sent_ms: Some(sent_ms.load(Ordering::Relaxed)),
                         done
                     });
                 }
@@ -249,24 +270,41 @@
     }
 }
 
-impl Renewing {
-    /// Takes what any control instance knows, so that service begins without a leader.
-    /// Returns whether one knew anything.
-    async fn peek(&self, keeper: &ActorRef<Renewed>) -> bool {
-        let peek = self.client.call(PEEK_MS, PEEK_MS, |client| async move {
-            let known = client.peek().await?;
-            match known.document.version {
-                DocumentVersion(0) => Err(ClientError::Custom("it knows no document".into())),
-                _ => Ok(known),
-            }
-        });
-        let known = match peek.await {
-            Ok(known) => known,
-            Err(error) => {
-                tracing::debug!(%error, "view: no control instance knows a document");
-                return false;
+/// Looks at what any control instance knows, so that service begins without a leader.
+struct Peeking {
+    client: Arc<ControlClient>,
+    view: Arc<ArcSwap<View>>,
+}
+
+impl Peeking {
+    /// Runs until a document is known, from here or from the leader.
+    async fn run(self, keeper: ActorRef<Renewed>) {
+        let mut pause_ms = PEEK_PAUSE_MS;
+        let unknown = || self.view.load().policy.version == DocumentVersion(0);
+        while unknown() {
+            let learnt = AtomicBool::new(false);
+            let reply = self.client.ask_all(
+                PEEK_MS,
+                |client| async move { client.peek().await },
+                |reply| {
+                    learnt.fetch_or(self.client.learn(&reply.control), Ordering::Relaxed);
+                    reply.known.document.version > DocumentVersion(0)
+                },
+            );
+            match reply.await {
+                Some(reply) => Self::begin_with(reply.known, &keeper).await,
+                // Instances without a disk know the others, but no document after a restart.
+                None if learnt.load(Ordering::Relaxed) => pause_ms = PEEK_PAUSE_MS,
+                None => {
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    pause_ms = (pause_ms * 3 / 2).min(LONGEST_PEEK_PAUSE_MS);
+                }
             }
-        };
+        }
+    }
+
+    async fn begin_with(known: Known, keeper: &ActorRef<Renewed>) {
+        let version = known.document.version;
         let targets = known.targets.into_iter().map(|target| target.entry);
         let reply = SyncReply {
             document: Some(known.document),
@@ -278,13 +316,15 @@
             }),
             ..SyncReply::default()
         };
-        let _ = ractor::call!(keeper, |done| Renewed {
+        let merged = ractor::call!(keeper, |done| Renewed {
             reply,
             sent_ms: None,
             done
         });
-        tracing::info!("view: begins with what a control instance knew");
-        true
+        match merged {
+            Ok(()) => tracing::info!(%version, "view: begins with what a control instance knew"),
+            Err(error) => tracing::warn!(%error, "view: not merged"),
+        }
     }
 }
 
