Leave a target out at whose address another one answers

Ruled out: full targets (none of the refusals was of that kind), agents (all had started).

Change: the dialect tells 'is another target' from 'did not run'. Such a target is left out for 4 s or until it announces a later start; unlike one that rests, also if no other is left. The choice is a pure function, tested by the pattern.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -310,6 +310,11 @@
                 let message = "an answer to another request came".to_string();
                 Ok(Sent::Failed(Reason::TargetFailed, message))
             }
+            () if answered.is_another => {
+                place.replaced(&inbound.id);
+                let message = "another target answers at its address".to_string();
+                Ok(Sent::NotRun(Reason::NoTarget, message))
+            }
             () if answered.not_run => {
                 place.full();
                 let status = response.status().as_u16();
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -42,6 +42,8 @@
         pub id: Option<String>,
         /// Whether it states that it did not run the request.
         pub not_run: bool,
+        /// Whether it states that it is not the target that was meant.
+        pub is_another: bool,
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -41,6 +41,17 @@
         pub warming_up: bool,
     }
 
+    /// Whether a target may get a request at all.
+    #[derive(Copy, Default)]
+    pub struct Standing {
+        /// The request was sent there before.
+        pub is_tried: bool,
+        /// It failed or was full of late.
+        pub rests: bool,
+        /// Another target answers at its address.
+        pub is_replaced: bool,
+    }
+
     /// The prompt as this decision sees it.
     #[derive(Copy, Default)]
     pub struct Prefix {
@@ -51,6 +62,20 @@
     }
 }
 
+/// The positions of the targets that may get a request: those that rest only if there are no
+/// others, replaced ones never.
+pub fn usable(standings: &[Standing]) -> Vec<usize> {
+    let open = |standing: &Standing| !standing.is_tried && !standing.is_replaced;
+    let positions = 0..standings.len();
+    let (rested, resting): (Vec<usize>, Vec<usize>) = positions
+        .filter(|position| open(&standings[*position]))
+        .partition(|position| !standings[*position].rests);
+    match rested.is_empty() {
+        true => resting,
+        false => rested,
+    }
+}
+
 /// The positions of the targets, best first. `seed` breaks ties, so that gateways that know
 /// the same do not all choose the same.
 pub fn order(candidates: &[Candidate], prefix: Prefix, seed: u64) -> Vec<usize> {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -2,7 +2,7 @@
 
 use super::{
     keepers::{Asked, Keepers},
-    placement::{self, Candidate, Prefix},
+    placement::{self, Candidate, Prefix, Standing},
     search::{Found, Search},
     waiting_line::{Ticket, Waiting, WaitingLine},
 };
@@ -40,6 +40,9 @@
 const FAILING_PER_MILLE: u64 = 400;
 /// For how long.
 const FAILING_REST_MS: u64 = 1000;
+/// How long a target is left out at whose address another one answers: the directory learns
+/// of such a change within seconds.
+const REPLACED_MS: u64 = 4000;
 /// How long a target is left alone that said that it is full.
 const FULL_REST_MS: u64 = 100;
 /// How long a measured time to the first event is believed.
@@ -87,6 +90,9 @@
     measured_at_ms: u64,
     rests_until_ms: u64,
     rest_ms: u64,
+    /// The start of the target in whose place another one answered, and until when that is
+    /// believed.
+    replaced: Option<(u64, u64)>,
     /// The part of requests that failed of late.
     failed_per_mille: u64,
     /// How long a request would have waited there, and when that was said.
@@ -344,22 +350,27 @@
         }
     }
 
-    /// The targets that may get a request, best first. Those that rest after a failure are
-    /// left out while there are others.
+    /// The targets that may get a request, best first.
     fn in_order(&self, state: &State, want: &Want, now_ms: u64) -> Vec<TargetEntry> {
         let view = self.view.load();
         let serves = |target: &&TargetEntry| target.service == *want.service && !target.leaving;
         let all: Vec<&TargetEntry> = view.targets.values().filter(serves).collect();
-        let untried = |target: &&&TargetEntry| !want.tried.contains(&target.name);
-        let rested = |target: &&&TargetEntry| {
-            let known = state.known.get(&target.name);
-            known.is_none_or(|known| known.rests_until_ms <= now_ms)
-        };
-        let untried_targets = all.iter().filter(untried);
-        let mut usable: Vec<&TargetEntry> = untried_targets.filter(rested).copied().collect();
-        if usable.is_empty() {
-            usable = all.iter().filter(untried).copied().collect();
-        }
+        let standings: Vec<Standing> = all
+            .iter()
+            .map(|target| {
+                let known = state.known.get(&target.name);
+                let replaced = known.and_then(|known| known.replaced);
+                Standing {
+                    is_tried: want.tried.contains(&target.name),
+                    rests: known.is_some_and(|known| known.rests_until_ms > now_ms),
+                    is_replaced: replaced.is_some_and(|(started_unix_ms, until_ms)| {
+                        started_unix_ms == target.started_unix_ms && now_ms < until_ms
+                    }),
+                }
+            })
+            .collect();
+        let usable = placement::usable(&standings).into_iter();
+        let usable: Vec<&TargetEntry> = usable.map(|position| all[position]).collect();
         let candidates: Vec<Candidate> = usable
             .iter()
             .map(|target| self.candidate(state, target, now_ms))
@@ -544,6 +555,18 @@
         );
     }
 
+    /// Leaves the target out until the directory knows better: another one answered at its
+    /// address.
+    pub fn replaced(&self, request: &str) {
+        let mut state = self.targets.state();
+        let known = state.known.entry(self.target.name.clone()).or_default();
+        known.replaced = Some((self.target.started_unix_ms, clock::boot_ms() + REPLACED_MS));
+        tracing::warn!(
+            request, target = %self.target.name, address = %self.target.address,
+            left_out_ms = REPLACED_MS, "gateway: another target answers at this address"
+        );
+    }
+
     /// Leaves the target alone for a moment: it said that it is full.
     pub fn full(&self) {
         let mut state = self.targets.state();
--- a/tests/gateway_rules.rs
+++ b/tests/gateway_rules.rs
@@ -2,7 +2,7 @@
 
 use guavacove::gateway::{
     events::Events,
-    placement::{Candidate, Prefix, order},
+    placement::{Candidate, Prefix, Standing, order, usable},
     repeats::{RepeatBounds, Repeats},
 };
 use quickcheck::{Gen, QuickCheck};
@@ -123,3 +123,47 @@
         .collect();
     assert!(first.len() > 3, "{first:?}");
 }
+
+/// All engines were started anew, under other names, and announce themselves one by one; the
+/// directory still lists the old ones.
+#[test]
+fn after_all_engines_restart_only_those_that_are_known_anew_are_asked() {
+    let old = Standing {
+        is_replaced: true,
+        ..Standing::default()
+    };
+    let fresh = Standing::default();
+    assert_eq!(
+        usable(&[old; 18]),
+        [0usize; 0],
+        "no repeat is spent on them"
+    );
+    let mut standings = [old; 18];
+    for known in 0..18 {
+        standings[known] = fresh;
+        assert_eq!(usable(&standings).len(), known + 1);
+    }
+    // One that is full is still better than one that is not there.
+    standings = [old; 18];
+    standings[3] = Standing {
+        rests: true,
+        ..fresh
+    };
+    assert_eq!(usable(&standings), [3]);
+}
+
+#[test]
+fn targets_that_rest_are_asked_only_if_no_other_is_left() {
+    let rests = Standing {
+        rests: true,
+        ..Standing::default()
+    };
+    let tried = Standing {
+        is_tried: true,
+        ..Standing::default()
+    };
+    let fresh = Standing::default();
+    assert_eq!(usable(&[rests, fresh, tried, fresh]), [1, 3]);
+    assert_eq!(usable(&[rests, tried, rests]), [0, 2]);
+    assert_eq!(usable(&[tried]), [0usize; 0]);
+}
