--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -10,7 +10,7 @@
 
 const CALL_LIMIT: Duration = Duration::from_mins(1);
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Answer {
     /// 0 if no answer came whole.
     pub status: u16,
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -1,16 +1,18 @@
-//! A TCP proxy that can go silent: it keeps connections open and drops bytes.
+//! A TCP proxy that can go silent, be late, or close what is open.
 
 use super::free_address;
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Notify,
+    time::{Duration, sleep},
 };
 
 #[derive(Default)]
@@ -21,6 +23,11 @@
     cut: AtomicU64,
     connections: AtomicU64,
     passed_bytes: AtomicU64,
+    /// How late bytes are passed on.
+    delay_ms: AtomicU64,
+    /// Whether only bytes from the server are dropped.
+    cut_down: AtomicBool,
+    closes: Notify,
 }
 
 pub struct Proxy {
@@ -30,8 +37,13 @@
 
 impl Proxy {
     pub async fn spawn(upstream: SocketAddr) -> Self {
+        Self::spawn_at(free_address().ip(), upstream).await
+    }
+
+    /// As [`Self::spawn`], at another loopback address.
+    pub async fn spawn_at(ip: IpAddr, upstream: SocketAddr) -> Self {
         let (address, listener) = loop {
-            let address = free_address();
+            let address = SocketAddr::new(ip, free_address().port());
             if let Ok(listener) = TcpListener::bind(address).await {
                 break (address, listener);
             }
@@ -46,9 +58,12 @@
                     if let Ok(server) = TcpStream::connect(upstream).await {
                         let (client_read, client_write) = client.into_split();
                         let (server_read, server_write) = server.into_split();
-                        let up = pass(client_read, server_write, Arc::clone(&mode), number);
-                        let down = pass(server_read, client_write, mode, number);
-                        tokio::join!(up, down);
+                        let up = pass(client_read, server_write, &mode, number, false);
+                        let down = pass(server_read, client_write, &mode, number, true);
+                        tokio::select! {
+                            _ = async { tokio::join!(up, down) } => {}
+                            () = mode.closes.notified() => {}
+                        }
                     }
                 });
             }
@@ -66,6 +81,21 @@
         self.mode.cut.store(1, Ordering::Relaxed);
     }
 
+    /// Passes bytes on late.
+    pub fn delay(&self, delay_ms: u64) {
+        self.mode.delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
+    /// Drops what comes from the server, and passes on what goes to it.
+    pub fn cut_down(&self, cut: bool) {
+        self.mode.cut_down.store(cut, Ordering::Relaxed);
+    }
+
+    /// Closes the connections that are open.
+    pub fn close_open(&self) {
+        self.mode.closes.notify_waiters();
+    }
+
     /// Ends a cut. Connections made during it stay silent.
     pub fn mend(&self) {
         self.silence_open();
@@ -82,12 +112,15 @@
 async fn pass(
     mut from: tokio::net::tcp::OwnedReadHalf,
     mut to: tokio::net::tcp::OwnedWriteHalf,
-    mode: Arc<Mode>,
+    mode: &Mode,
     number: u64,
+    is_down: bool,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     while let Ok(length) = from.read(&mut buffer).await {
+        sleep(Duration::from_millis(mode.delay_ms.load(Ordering::Relaxed))).await;
         let silent = mode.cut.load(Ordering::Relaxed) > 0
+            || is_down && mode.cut_down.load(Ordering::Relaxed)
             || number <= mode.silent_up_to.load(Ordering::Relaxed);
         match (length, silent) {
             (0, true) => std::future::pending().await,
