Serve load, queue, quota, repeat and prompt figures of a gateway as metrics

What was missing from the page of metrics: requests in progress and waiting, repeats left of the shared budget, units of quotas by where they came from, prompt tokens by first or repeated sends. Labels are services and fixed words.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -23,6 +23,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -166,12 +167,14 @@
         let (units, now_ms) = (inbound.quota_units(), clock::boot_ms());
         let taken = self.quotas().take(&customer.name, quota, units, now_ms);
         let Err(wait_ms) = taken else {
+            metrics::gateway_quota("own", units);
             return Ok(());
         };
         let may_borrow = self.quotas().may_borrow(&customer.name, now_ms);
         if may_borrow && self.borrow(&customer.name, quota, units).await {
             return Ok(());
         }
+        metrics::gateway_quota("refused", units);
         let (share_ppm, left_units) = self.quotas().standing(&customer.name);
         tracing::warn!(
             request = inbound.id, customer = %customer.name, units, rate_per_s = quota.rate_per_s,
@@ -185,14 +188,17 @@
     async fn borrow(&self, customer: &CustomerName, quota: QuotaPolicy, units: u64) -> bool {
         let now_ms = clock::boot_ms();
         if now_ms < self.leader_away_until_ms.load(Ordering::Relaxed) {
-            return self.quotas().take_on_credit(customer, quota, units);
+            return self.take_on_credit(customer, quota, units);
         }
         let lent = self.control.call(BORROW_MS, BORROW_MS, |client| {
             let customer = customer.clone();
             async move { client.borrow(customer, units).await }
         });
         match lent.await {
-            Ok(true) => true,
+            Ok(true) => {
+                metrics::gateway_quota("pool", units);
+                true
+            }
             Ok(false) => {
                 self.quotas().note_empty(customer, clock::boot_ms());
                 false
@@ -201,13 +207,21 @@
                 let away_until_ms = clock::boot_ms() + LEADER_AWAY_MS;
                 self.leader_away_until_ms
                     .store(away_until_ms, Ordering::Relaxed);
-                let taken = self.quotas().take_on_credit(customer, quota, units);
+                let taken = self.take_on_credit(customer, quota, units);
                 tracing::info!(%customer, units, %error, taken, "gateway: quota taken on credit");
                 taken
             }
         }
     }
 
+    fn take_on_credit(&self, customer: &CustomerName, quota: QuotaPolicy, units: u64) -> bool {
+        let taken = self.quotas().take_on_credit(customer, quota, units);
+        if taken {
+            metrics::gateway_quota("credit", units);
+        }
+        taken
+    }
+
     /// Whether the request may be sent once more; fails with what it has come to otherwise.
     fn try_again(
         &self,
@@ -243,6 +257,15 @@
         }
     }
 
+    /// Tells metrics how much is in progress, waits, and may be repeated.
+    pub fn report_loads(&self, loads: &BTreeMap<ServiceName, (u64, u64)>) {
+        let gateways = self.quotas().gateways();
+        for (service, (in_progress, waiting)) in loads {
+            let left = self.repeats().left(service, gateways, clock::boot_ms());
+            metrics::gateway_load(service, *in_progress, *waiting, left);
+        }
+    }
+
     /// Spends one repeat of the budget, if it allows one.
     pub fn spend(&self, service: &ServiceName) -> bool {
         let gateways = self.quotas().gateways();
@@ -268,6 +291,14 @@
                 "the request cannot be passed on",
             ));
         };
+        if let Some(tokens) = inbound.asked.prompt_tokens {
+            let kind = if progress.arrivals == 0 {
+                "first"
+            } else {
+                "again"
+            };
+            metrics::gateway_prompt(&inbound.service, kind, tokens);
+        }
         let sent_ms = clock::boot_ms();
         let patience_ms = Self::patience_ms(inbound, progress);
         let calling = self.connections.call(&place.target, request);
--- a/src/gateway/repeats.rs
+++ b/src/gateway/repeats.rs
@@ -64,17 +64,22 @@
 
     /// Whether a repeat is allowed; counts it if so.
     pub fn spend(&mut self, service: &ServiceName, gateways: u64, now_ms: u64) -> bool {
+        let allowed = self.left(service, gateways, now_ms) > 0;
+        if allowed {
+            self.slice(service, now_ms).repeats += 1;
+        }
+        allowed
+    }
+
+    /// How many repeats are allowed at present.
+    pub fn left(&mut self, service: &ServiceName, gateways: u64, now_ms: u64) -> u64 {
         self.slice(service, now_ms);
         let slices = &self.services[service];
         let requests: u64 = slices.iter().map(|slice| slice.requests).sum();
         let repeats: u64 = slices.iter().map(|slice| slice.repeats).sum();
         let slack = self.bounds.slack / gateways.max(1);
         let most = (requests * self.bounds.per_mille / 1000 + slack) * USED_PERCENT / 100;
-        let allowed = repeats < most;
-        if allowed {
-            self.slice(service, now_ms).repeats += 1;
-        }
-        allowed
+        most.saturating_sub(repeats)
     }
 
     fn slice(&mut self, service: &ServiceName, now_ms: u64) -> &mut Slice {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -206,7 +206,12 @@
             attempts.targets.set_shares(shares.as_ref().clone());
         }
         attempts.targets.wake_all();
-        let services = attempts.targets.demand();
+        let loads = attempts.targets.loads();
+        attempts.report_loads(&loads);
+        let services = loads
+            .into_iter()
+            .map(|(service, (in_progress, waiting))| (service, in_progress + waiting))
+            .collect();
         shared.view.report_demand(Demand {
             customers,
             services,
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -323,15 +323,15 @@
         }
     }
 
-    /// Requests in progress or waiting, by service.
-    pub fn demand(&self) -> BTreeMap<ServiceName, u64> {
+    /// The requests of each service: in progress, and waiting at this gateway.
+    pub fn loads(&self) -> BTreeMap<ServiceName, (u64, u64)> {
         let state = self.state();
         let lines = state.lines.iter();
-        let demand = lines.map(|(service, line)| {
+        let loads = lines.map(|(service, line)| {
             let waiting = line.waiting.len() as u64;
-            (service.clone(), line.in_progress + waiting)
+            (service.clone(), (line.in_progress, waiting))
         });
-        demand.collect()
+        loads.collect()
     }
 
     /// Drops what is known of targets that are gone.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,7 +6,7 @@
 };
 use opentelemetry::{
     KeyValue, global,
-    metrics::{Counter, Histogram},
+    metrics::{Counter, Gauge, Histogram},
 };
 use std::sync::LazyLock;
 
@@ -83,6 +83,18 @@
     };
 }
 
+/// Declares a gauge of the gateway.
+macro_rules! gauge {
+    ($name:ident, $metric:literal, $description:literal) => {
+        static $name: LazyLock<Gauge<u64>> = LazyLock::new(|| {
+            global::meter("guavacove")
+                .u64_gauge($metric)
+                .with_description($description)
+                .build()
+        });
+    };
+}
+
 /// Declares a histogram of times in milliseconds.
 macro_rules! histogram {
     ($name:ident, $metric:literal, $description:literal) => {
@@ -106,6 +118,31 @@
     "guavacove.gateway.refusals",
     "Requests refused, by verdict and reason"
 );
+counter!(
+    GATEWAY_QUOTA_UNITS,
+    "guavacove.gateway.quota_units",
+    "Units of quotas asked for, by where they came from: own part, pool, credit, or refused"
+);
+counter!(
+    GATEWAY_PROMPT_TOKENS,
+    "guavacove.gateway.prompt_tokens",
+    "Prompt tokens sent to targets, by service, and whether for the first time or again"
+);
+gauge!(
+    GATEWAY_IN_PROGRESS,
+    "guavacove.gateway.in_progress",
+    "Requests in progress at targets, by service"
+);
+gauge!(
+    GATEWAY_WAITING,
+    "guavacove.gateway.waiting",
+    "Requests that wait in the gateway's line, by service"
+);
+gauge!(
+    GATEWAY_REPEATS_LEFT,
+    "guavacove.gateway.repeats_left",
+    "Repeats that the shared budget allows at present, by service"
+);
 counter!(
     GATEWAY_BREAKS,
     "guavacove.gateway.breaks",
@@ -177,6 +214,28 @@
     GATEWAY_TOOK.record(took_ms, &of(service, rank));
 }
 
+/// Notes a gateway's load of one service, and the repeats that it may still make.
+pub fn gateway_load(service: &ServiceName, in_progress: u64, waiting: u64, repeats_left: u64) {
+    let service = [KeyValue::new("service", service.0.clone())];
+    GATEWAY_IN_PROGRESS.record(in_progress, &service);
+    GATEWAY_WAITING.record(waiting, &service);
+    GATEWAY_REPEATS_LEFT.record(repeats_left, &service);
+}
+
+/// Counts units of a quota that a request asked for.
+pub fn gateway_quota(from: &'static str, units: u64) {
+    GATEWAY_QUOTA_UNITS.add(units, &[KeyValue::new("from", from)]);
+}
+
+/// Counts the tokens of a prompt that is sent to a target.
+pub fn gateway_prompt(service: &ServiceName, kind: &'static str, tokens: u64) {
+    let labels = [
+        KeyValue::new("service", service.0.clone()),
+        KeyValue::new("kind", kind),
+    ];
+    GATEWAY_PROMPT_TOKENS.add(tokens, &labels);
+}
+
 /// Counts a refusal of a gateway.
 pub fn gateway_refused(verdict: Verdict, reason: &Reason) {
     let verdict = KeyValue::new("verdict", verdict.to_string());
