Name the request in lines on failed targets, and log a document that a leader cannot use

A leader that could not compile the document in force went on with an empty one, without a line, and then lent without bound. It keeps the contracts before it and says so.

--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -176,8 +176,15 @@
     fn follow_document(&mut self) {
         let document = self.control.document();
         if self.policy.version != document.version {
-            // Documents were checked before they were accepted.
-            self.policy = Policy::compile(document.version, &document.yaml).unwrap_or_default();
+            match Policy::compile(document.version, &document.yaml) {
+                Ok(policy) => self.policy = policy,
+                // Documents are checked before they are accepted, but perhaps by an older
+                // program. The contracts before it stay in force.
+                Err(faults) => {
+                    tracing::error!(version = %document.version, %faults, "control: document not usable");
+                    self.policy.version = document.version;
+                }
+            }
         }
     }
 
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -311,13 +311,13 @@
                 reason,
                 error,
             })) => {
-                place.unreachable(&error);
+                place.unreachable(&inbound.id, &error);
                 return Ok(Sent::NotRun(reason, error));
             }
             Ok(Err(CallError { reason, error, .. })) => {
                 progress.arrivals += 1;
                 progress.runs += 1;
-                place.failed(&error);
+                place.failed(&inbound.id, &error);
                 let message = format!("target {}: {error}", place.target.name);
                 return Ok(Sent::Failed(reason, message));
             }
@@ -328,7 +328,7 @@
                     "no answer of target {} within {took_ms} ms",
                     place.target.name
                 );
-                place.failed(&message);
+                place.failed(&inbound.id, &message);
                 return Ok(Sent::Failed(Reason::Expired, message));
             }
         };
@@ -517,7 +517,7 @@
         let body = match read {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
-                place.failed(&error.to_string());
+                place.failed(&inbound.id, &error.to_string());
                 let message = format!("the answer broke off: {error}");
                 let refusal = Refusal::may_have_run(Reason::TargetFailed, message);
                 return self.try_again(inbound, progress, refusal).map(|()| None);
@@ -531,7 +531,7 @@
         place.answered();
         if failed {
             let message = format!("the target failed with {}", status.as_u16());
-            place.failed(&message);
+            place.failed(&inbound.id, &message);
             let message = format!("target {}: {message}", place.target.name);
             let refusal = Refusal::may_have_run(Reason::TargetFailed, message);
             if self.try_again(inbound, progress, refusal).is_ok() {
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -122,7 +122,7 @@
                     return None;
                 }
                 Read::Broken(error) => {
-                    self.place.failed(&error);
+                    self.place.failed(&self.inbound.id, &error);
                     // Closes the connection first, so that the first run ends.
                     self.connection = None;
                     if !self.resume(&error).await {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -566,20 +566,20 @@
     }
 
     /// Leaves the target alone for a while, longer each time: it could not be reached.
-    pub fn unreachable(&self, error: &str) {
+    pub fn unreachable(&self, request: &str, error: &str) {
         let mut state = self.targets.state();
         let known = state.known.entry(self.target.name.clone()).or_default();
         known.rest_ms = (known.rest_ms * 2).clamp(UNREACHABLE_REST_MS, MOST_REST_MS);
         known.rests_until_ms = clock::boot_ms() + known.rest_ms;
         tracing::warn!(
-            target = %self.target.name, rest_ms = known.rest_ms, error,
+            request, target = %self.target.name, rest_ms = known.rest_ms, error,
             "gateway: target not reached and rests"
         );
     }
 
     /// Notes that the target failed a request. It rests if it has failed often of late; one
     /// failure now and then is ordinary.
-    pub fn failed(&self, error: &str) {
+    pub fn failed(&self, request: &str, error: &str) {
         let mut state = self.targets.state();
         let known = state.known.entry(self.target.name.clone()).or_default();
         known.failed_per_mille = known.failed_per_mille * 7 / 8 + 1000 / 8;
@@ -589,7 +589,7 @@
         };
         known.rests_until_ms = known.rests_until_ms.max(clock::boot_ms() + rest_ms);
         tracing::warn!(
-            target = %self.target.name, rest_ms, failed_per_mille = known.failed_per_mille, error,
+            request, target = %self.target.name, rest_ms, failed_per_mille = known.failed_per_mille, error,
             "gateway: target failed"
         );
     }
