Found a control group only with whom was invited

An instance that had invited others counted founders anew at each tick. If two of three restarted in the meantime, told by then that this is no first start, it founded a group of its own, while the invitation could still reach them: two groups whose majorities have no common member.

Ruled out: two instances that invite at once (only the lowest does).

Change: who has invited founds with exactly these once all others say that they belong to a group, and repeats the invitation until then.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -23,7 +23,7 @@
 use bytes::Bytes;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -163,7 +163,9 @@
     announced_ms: u64,
     /// The term in which this instance last said that it leads.
     announced_term: Term,
-    founding: bool,
+    /// Whom this replica has invited to found the group: it founds with exactly these, as
+    /// an invitation may arrive late.
+    invited: Option<BTreeSet<ReplicaId>>,
     batch: Vec<(Command, Port<Reply>)>,
     pending: BTreeMap<LogIndex, (Term, Port<Reply>)>,
     members: Members,
@@ -237,7 +239,7 @@
             beyond_quota_per_s: identity.beyond_quota_per_s,
             announced_ms: 0,
             announced_term: Term(0),
-            founding: false,
+            invited: None,
             batch: Vec::new(),
             pending: BTreeMap::new(),
             members: Members::default(),
@@ -522,7 +524,8 @@
         if !self.core.membership().is_empty() {
             return Ok(());
         }
-        let founding = self.roster.founding(self.now_ms());
+        let now_ms = self.now_ms();
+        let founding = self.roster.founding(now_ms);
         let snapshot = |voters| {
             let membership = Membership {
                 voters,
@@ -535,17 +538,24 @@
                 state: Bytes::new(),
             }
         };
-        match founding {
-            Founding::Found(voters) if self.founding || voters.len() == 1 => {
-                tracing::info!(voters = voters.len(), "control: founded the group");
-                self.step(Input::Found(snapshot(voters)))?;
-            }
-            Founding::Invite(voters) => {
-                self.founding = true;
-                let snapshot = snapshot(voters);
-                self.peers.broadcast(&PeerMessage::Found { snapshot });
+        let found = match (&self.invited, founding) {
+            (Some(invited), _) => Some(invited.clone()),
+            (None, Founding::Found(voters)) if voters.len() == 1 => Some(voters),
+            (None, Founding::Invite(voters)) => {
+                self.invited = Some(voters.clone());
+                Some(voters)
             }
-            Founding::Found(_) | Founding::Wait => {}
+            (None, Founding::Found(_) | Founding::Wait) => None,
+        };
+        let Some(voters) = found else {
+            return Ok(());
+        };
+        if self.roster.all_in_group(&voters, now_ms) {
+            tracing::info!(voters = voters.len(), "control: founded the group");
+            self.step(Input::Found(snapshot(voters)))?;
+        } else {
+            let snapshot = snapshot(voters);
+            self.peers.broadcast(&PeerMessage::Found { snapshot });
         }
         Ok(())
     }
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -230,6 +230,14 @@
         }
     }
 
+    /// Whether all others of a group say that they belong to one.
+    pub fn all_in_group(&self, group: &BTreeSet<ReplicaId>, now_ms: u64) -> bool {
+        let founded = |id: &ReplicaId| {
+            *id == self.own || fresh(&self.heard, now_ms).any(|p| p.replica == *id && p.in_group)
+        };
+        group.iter().all(founded)
+    }
+
     /// The next step towards the replicas that the group should have; `None` if it has.
     pub fn repair(
         &self,
