--- a/src/gateway/turnout.rs
+++ b/src/gateway/turnout.rs
@@ -6,27 +6,27 @@
 //!
 //! | input | use |
 //! |---|---|
-//! | expected work of each request of a tier | what is long |
+//! | expected work of each request of a route | what is long |
 //! | which got a place | whether long work is behind |
 
 use crate::derives::record;
 
-/// Work is long from this many times the mean of its tier on: about the longest tenth, where
+/// Work is long from this many times the mean of its route on: about the longest tenth, where
 /// lengths are spread as those of answers are.
 const LONG_MEANS: u64 = 2;
 /// Long work is behind when less than this part of it got a place, against other work of its
-/// tier, in percent. Callers are promised half; the rest is for what is on its way.
+/// route, in percent: the users' bound for the largest requests is half.
 const LEAST_LONG_PERCENT: u64 = 50;
 /// The part of a request's work in the mean: one of so many.
 const MEAN_SAMPLES: u64 = 64;
-/// After how many requests the counts of a tier are halved, so that they tell of late.
+/// After how many requests the counts of a route are halved, so that they tell of late.
 const COUNTED: u64 = 256;
 /// How many requests must have come before anything is made of the counts: enough for one
 /// or two long ones to be among them.
 const LEAST_COUNTED: u64 = 16;
 
 record! {
-    /// What came of long and of other work of one tier of late.
+    /// What came of long and of other work of one route of late.
     #[derive(Copy, Default)]
     pub struct Turnout {
         mean_units: Option<u64>,
