--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -7,7 +7,7 @@
     units::TierRank,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const START_MS: u64 = 1_000_000;
 
@@ -316,3 +316,51 @@
         assert!(long * 2 >= short, "{per_s} a second: {short}% and {long}%");
     }
 }
+
+/// How many requests have their first event within their objective, in percent, where it
+/// comes some time after the place, and the line is told to go by so much of the objective.
+fn in_time_percent(told_ms: u64) -> u64 {
+    const OBJECTIVE_MS: u64 = 600;
+    const FIRST_MS: u64 = 150;
+    let (mut slots, mut ends) = (Slots::default(), BTreeSet::<(u64, u64)>::new());
+    let (mut asked_ms, mut in_time) = (Vec::new(), 0);
+    for now_ms in START_MS..START_MS + 60_000 {
+        let mut outcomes = Vec::new();
+        while let Some((end_ms, ticket)) = ends.pop_first() {
+            if end_ms > now_ms {
+                ends.insert((end_ms, ticket));
+                break;
+            }
+            outcomes.extend(slots.give_up((0, ticket), Some(SHORT_MS), now_ms));
+        }
+        if (now_ms - START_MS) * 14 / 1000 > asked_ms.len() as u64 {
+            asked_ms.push(now_ms);
+            let ask = Ask {
+                slots: 5,
+                objective_left_ms: told_ms,
+                begin_left_ms: 2000,
+                ..ask(2, SHORT_MS / UNIT_MS)
+            };
+            outcomes.extend(slots.ask((0, asked_ms.len() as u64), &ask, now_ms));
+        }
+        if now_ms % 50 == 0 {
+            outcomes.extend(slots.tick(now_ms));
+        }
+        for ticket in granted(&outcomes) {
+            let first_at_ms = now_ms + FIRST_MS;
+            in_time += u64::from(first_at_ms <= asked_ms[ticket as usize - 1] + OBJECTIVE_MS);
+            ends.insert((now_ms + SHORT_MS, ticket));
+        }
+    }
+    in_time * 100 / asked_ms.len() as u64
+}
+
+#[test]
+fn under_overload_places_go_to_what_still_has_its_first_event_in_time() {
+    let (whole, less_first) = (in_time_percent(600), in_time_percent(450));
+    println!("in time: {whole}% by the whole objective, {less_first}% less the first event");
+    assert!(
+        less_first > 40 && less_first > whole * 2,
+        "{whole}% and {less_first}%"
+    );
+}
