Tell orders to agents as soon as they are committed

Cause (the listed a_request_that_loses_its_place_asks_again): the leader answered waiting renewals when the document changed, not when an order was committed. A drain reached its agent with the next renewal, up to 800 ms later; since renewals have another phase this was often more than the 500 ms that the test gives it.

Change: a committed order answers waiting renewals, as a document does.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -391,27 +391,34 @@
             self.control = decode_state(&snapshot.state)?;
         }
         let version_before = self.control.document().version;
+        let mut ordered = false;
         for entry in committed {
-            self.apply(entry)?;
+            ordered |= self.apply(entry)?;
         }
-        if self.control.document().version > version_before {
+        let changed = self.control.document().version > version_before;
+        if changed {
             self.know_document();
+        }
+        if changed || ordered {
             self.answer_waiting();
         }
         Ok(refused)
     }
 
-    fn apply(&mut self, entry: Entry) -> Result<(), ActorProcessingErr> {
-        let reply = match entry.payload {
-            Payload::Command(bytes) => Some(self.control.apply(postcard::from_bytes(&bytes)?)),
+    /// Applies a committed entry; returns whether it was an order to a target.
+    fn apply(&mut self, entry: Entry) -> Result<bool, ActorProcessingErr> {
+        let command = match entry.payload {
+            Payload::Command(bytes) => Some(postcard::from_bytes(&bytes)?),
             Payload::Noop | Payload::Membership(_) => None,
         };
+        let is_order = matches!(command, Some(Command::Order { .. }));
+        let reply = command.map(|command| self.control.apply(command));
         match (self.pending.remove(&entry.index), reply) {
             (Some((term, port)), Some(reply)) if term == entry.term => drop(port.send(Ok(reply))),
             (Some((_, port)), _) => drop(port.send(Err(ControlError::Unresolved))),
             (None, _) => {}
         }
-        Ok(())
+        Ok(is_order)
     }
 
     fn tick(&mut self) -> Result<(), ActorProcessingErr> {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -7,6 +7,8 @@
 
 /// From the brief: a leaving target gets no new work after a few seconds.
 const LEAVING_MS: u64 = 2000;
+/// A quarter of that is left for the way from the leader to the agent.
+const IN_FORCE_MS: u64 = LEAVING_MS / 4;
 /// A process that is cut off from control serves on for at least this long.
 const SERVES_ON_MS: u64 = 2500;
 /// How long before the cut the last renewal was answered, and how long that one
@@ -83,6 +85,31 @@
     );
 }
 
+/// A drain is in force at the agent at once, whenever in its renewals it comes.
+async fn drains_take_effect_at_once() {
+    let system = System::builder().entries(1).plain(5).start().await;
+    let is_leaving = |system: &System| {
+        let status = system.status();
+        let processes = status["processes"].as_array().cloned().unwrap_or_default();
+        let mut members = processes.iter().map(|process| &process["member"]);
+        members.any(|member| member["target"]["leaving"] == true)
+    };
+    for phase in 0..8 {
+        sleep_ms(500 + phase * 110).await;
+        for (arguments, wanted) in [
+            (vec!["drain", "filings-1"], true),
+            (vec!["drain", "filings-1", "--undo"], false),
+        ] {
+            assert!(system.command(&arguments).status.success());
+            eventually("the order is in force", IN_FORCE_MS, || async {
+                is_leaving(&system) == wanted
+            })
+            .await;
+            sleep_ms(phase * 90).await;
+        }
+    }
+}
+
 /// A target that says it leaves gets nothing new, also from entries that are cut
 /// off from control and have not heard of it.
 async fn targets_leave() {
@@ -346,6 +373,7 @@
 }
 
 cases! {
+    drains_are_told_at_once => drains_take_effect_at_once();
     orders_of_a_cut_off_leader_take_no_effect => orders_are_fenced();
     a_drained_target_gets_nothing_new => drains();
     a_leaving_target_refuses_what_comes_late => targets_leave();
