--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -125,6 +125,15 @@
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
+    receive(&mut sender, request, answer).await
+}
+
+/// Sends a request on a connection and reads the answer as far as it comes.
+pub async fn receive(
+    sender: &mut http1::SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    answer: &mut Answer,
+) -> Option<()> {
     let mut response = sender.send_request(request).await.ok()?;
     answer.status = response.status().as_u16();
     answer.headers = response.headers().clone();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
 
 #[allow(unused_imports)]
 pub use self::{
-    caller::{Answer, Caller, fetch},
+    caller::{Answer, Caller, fetch, receive},
     process::{Process, free_address, guavacove, keep_logs_of_a_failure},
     proxy::Proxy,
     system::{CONSOLE_TOKEN, Control, DOCUMENT, STOP_LIMIT, System, get, get_json},
