Let a new leader divide only what the gateways that it knows held of a quota

Cause: a new leader had heard of no gateway that was cut off together with the old one, and gave the whole of each quota to the others, while those out of reach go by their parts for 10 s. The new test has seven gateways of which three are out of reach: the four others were given 700,000 millionths of 700,000, 300,000 of which the three still held.

Change: for 12 s a new leader divides what the gateways held when it first heard of them. Parts also add up to what is divided: they added up to all of the quota, so that the last gateway to renew got less than its demand.

--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -13,7 +13,7 @@
             self.directory_settled = false;
             self.members = Members::default();
             self.directory = Directory::seeded(self.known.targets.clone(), now_ms);
-            self.demands = Demands::default();
+            self.demands = Demands::new(now_ms);
             self.pools = Pools::new(self.beyond_quota_per_s);
             self.limits = Limits::new(now_ms);
             metrics::control_leads();
@@ -210,7 +210,7 @@
             false => None,
         };
         let shares = is_gateway && self.settled;
-        let shares = shares.then(|| self.demands.shares_of(&request.member.name));
+        let shares = shares.then(|| self.demands.shares_of(&request.member.name, self.now_ms()));
         let target = TargetName(request.member.name.0.clone());
         let orders = self
             .control
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -66,7 +66,14 @@
 
 /// The demand of all gateways, as of their last renewals.
 #[derive(Default)]
-pub struct Demands(BTreeMap<ProcessName, Reported>);
+pub struct Demands {
+    reported: BTreeMap<ProcessName, Reported>,
+    /// Until then gateways that were never heard of may go by parts of an earlier leader.
+    unknown_until_ms: u64,
+    /// The part of each quota that each gateway held when it was first heard of: so much is
+    /// known to be held by nobody out of reach.
+    taken_over: BTreeMap<CustomerName, BTreeMap<ProcessName, u64>>,
+}
 
 struct Reported {
     demand: Demand,
@@ -75,19 +82,33 @@
 }
 
 impl Demands {
+    /// The demand that a leader knows who was elected at `now_ms`: none yet.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            unknown_until_ms: now_ms + RESERVED_MS,
+            ..Self::default()
+        }
+    }
+
     /// Takes what a gateway reports.
     pub fn report(&mut self, gateway: ProcessName, demand: Demand, now_ms: u64) {
+        if now_ms < self.unknown_until_ms {
+            for (customer, QuotaDemand { held_ppm, .. }) in &demand.customers {
+                let held = self.taken_over.entry(customer.clone()).or_default();
+                held.entry(gateway.clone()).or_insert(*held_ppm);
+            }
+        }
         let reported = Reported {
             demand,
             at_ms: now_ms,
             is_silent: false,
         };
-        self.0.insert(gateway, reported);
+        self.reported.insert(gateway, reported);
     }
 
     /// Notes the parts that a gateway was told, which it goes by from now on.
     pub fn told(&mut self, gateway: &ProcessName, shares: &Shares) {
-        if let Some(Reported { demand, .. }) = self.0.get_mut(gateway) {
+        if let Some(Reported { demand, .. }) = self.reported.get_mut(gateway) {
             for (customer, held_ppm) in &shares.customers {
                 demand
                     .customers
@@ -100,12 +121,12 @@
 
     /// Drops a gateway that has stopped.
     pub fn remove(&mut self, gateway: &ProcessName) {
-        self.0.remove(gateway);
+        self.reported.remove(gateway);
     }
 
     /// Notes that a gateway is silent. It may be cut off and go on with its parts.
     pub fn silence(&mut self, gateway: &ProcessName) {
-        if let Some(reported) = self.0.get_mut(gateway) {
+        if let Some(reported) = self.reported.get_mut(gateway) {
             reported.is_silent = true;
             reported.demand.services.clear();
             for demand in reported.demand.customers.values_mut() {
@@ -116,22 +137,37 @@
 
     /// Drops what gateways held that have been silent for long.
     pub fn expire(&mut self, now_ms: u64) {
-        self.0
+        self.reported
             .retain(|_, reported| !reported.is_silent || now_ms < reported.at_ms + RESERVED_MS);
     }
 
     fn demands(&self) -> impl Iterator<Item = (&ProcessName, &Demand)> {
-        self.0
+        self.reported
             .iter()
             .map(|(name, reported)| (name, &reported.demand))
     }
 
+    /// How much of a quota may be divided among the gateways that are known.
+    fn divided_ppm(&self, customer: &CustomerName, now_ms: u64) -> u64 {
+        let most_ppm = WHOLE_PPM - POOL_PPM;
+        match now_ms < self.unknown_until_ms {
+            true => {
+                let held = self.taken_over.get(customer);
+                held.map_or(0, |held| held.values().sum()).min(most_ppm)
+            }
+            false => most_ppm,
+        }
+    }
+
     /// The parts of one gateway.
-    pub fn shares_of(&self, gateway: &ProcessName) -> Shares {
-        let Some(Reported { demand: own, .. }) = self.0.get(gateway) else {
+    pub fn shares_of(&self, gateway: &ProcessName, now_ms: u64) -> Shares {
+        let Some(Reported { demand: own, .. }) = self.reported.get(gateway) else {
             return Shares::default();
         };
-        let live = self.0.values().filter(|reported| !reported.is_silent);
+        let live = self
+            .reported
+            .values()
+            .filter(|reported| !reported.is_silent);
         let gateways = live.count() as u64;
         let asked: BTreeSet<&CustomerName> = self
             .demands()
@@ -150,11 +186,10 @@
             let others = all().filter(|(name, _)| *name != gateway);
             let held_ppm: u64 = others.map(|(_, demand)| demand.held_ppm).sum();
             // What others still go by is not given twice.
-            let free_ppm = (WHOLE_PPM - POOL_PPM).saturating_sub(held_ppm);
-            (
-                customer.clone(),
-                share_ppm(wanted, wanted_by_all, gateways).min(free_ppm),
-            )
+            let divided_ppm = self.divided_ppm(customer, now_ms);
+            let free_ppm = divided_ppm.saturating_sub(held_ppm);
+            let part_ppm = share_ppm(wanted, wanted_by_all, gateways) * divided_ppm / WHOLE_PPM;
+            (customer.clone(), part_ppm.min(free_ppm))
         });
         let services = own.services.iter().map(|(service, wanted)| {
             let all = self.demands().filter_map(|(_, d)| d.services.get(service));
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -1,7 +1,7 @@
 //! Quotas over all gateways, as gateways come, go, are cut off, and demand moves.
 
 use guavacove::{
-    control::shares::{Demand, Demands, Pools},
+    control::shares::{Demand, Demands, Pools, QuotaDemand, SHARE_LEASE_MS},
     document::QuotaPolicy,
     gateway::quotas::Quotas,
     units::*,
@@ -70,7 +70,7 @@
                     services,
                 };
                 demands.report(name(number), demand, now_ms);
-                let shares = demands.shares_of(&name(number));
+                let shares = demands.shares_of(&name(number), now_ms);
                 demands.told(&name(number), &shares);
                 quotas.set_shares(shares, now_ms + 10_000);
             }
@@ -121,7 +121,7 @@
                 services: BTreeMap::new(),
             };
             demands.report("gateway".into(), demand, now_ms);
-            let shares = demands.shares_of(&"gateway".into());
+            let shares = demands.shares_of(&"gateway".into(), now_ms);
             quotas.set_shares(shares, now_ms + 10_000);
         }
         let asked = 450;
@@ -133,3 +133,43 @@
     // 9,000 units a second were asked for over 20 s, of 10,000 allowed.
     assert!(admitted > 170_000, "{admitted}");
 }
+
+/// Three of seven gateways are cut off together with the leader: they go by their parts
+/// until those run out, and the new leader has never heard of them.
+#[test]
+fn a_new_leader_gives_nothing_that_gateways_out_of_reach_may_hold() {
+    const ELECTED_MS: u64 = 1_000_000;
+    const HELD_PPM: u64 = 100_000;
+    const REACHED: usize = 4;
+    let customer = CustomerName::from("hot");
+    let name = |gateway: usize| ProcessName::from(format!("gateway-{gateway}").as_str());
+    let mut demands = Demands::new(ELECTED_MS);
+    let mut held = [HELD_PPM; REACHED];
+    for now_ms in (ELECTED_MS..ELECTED_MS + 14_000).step_by(800) {
+        for (number, held_ppm) in held.iter_mut().enumerate() {
+            let of_customer = QuotaDemand {
+                units_per_s: 5000 * (number as u64 + 1),
+                held_ppm: *held_ppm,
+            };
+            let demand = Demand {
+                customers: [(customer.clone(), of_customer)].into(),
+                ..Demand::default()
+            };
+            demands.report(name(number), demand, now_ms);
+            let shares = demands.shares_of(&name(number), now_ms);
+            demands.told(&name(number), &shares);
+            *held_ppm = shares.customers[&customer];
+        }
+        let reached_ppm: u64 = held.iter().sum();
+        match now_ms < ELECTED_MS + SHARE_LEASE_MS {
+            true => assert!(reached_ppm <= HELD_PPM * REACHED as u64, "{held:?}"),
+            false => assert!(reached_ppm <= 700_000, "{held:?}"),
+        }
+    }
+    let reached_ppm: u64 = held.iter().sum();
+    assert!(
+        reached_ppm > 650_000,
+        "the rest is handed out later: {held:?}"
+    );
+    assert!(held.is_sorted(), "by demand: {held:?}");
+}
