Take numbers with a fraction in every setting that a template fills in

Ruled out: rounding in the templates, which the platform fills in as they are. Change: bounds are rounded down, times that others are given up; what is negative, no number or absurd is refused with its key and value. A test for each field.

--- a/src/gateway/repeats.rs
+++ b/src/gateway/repeats.rs
@@ -5,7 +5,7 @@
 //! goes by its own requests and by its part of the slack, so the sum holds without a word
 //! between them.
 
-use crate::{derives::record, units::ServiceName};
+use crate::{derives::record, rounding, units::ServiceName};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The part of the budget that is used, in percent: the rest covers windows that are cut
@@ -20,11 +20,13 @@
     #[serde(deny_unknown_fields)]
     pub struct RepeatBounds {
         /// Repeats for a thousand requests; in settings `ratio`, such as 0.2.
-        #[serde(rename = "ratio", deserialize_with = "per_mille")]
+        #[serde(rename = "ratio", deserialize_with = "rounding::thousandths")]
         pub per_mille: u64,
-        /// The length of a window, in seconds.
-        pub window_s: u64,
+        /// The length of a window; in settings `window_s`, in seconds.
+        #[serde(rename = "window_s", deserialize_with = "rounding::thousandths")]
+        pub window_ms: u64,
         /// Repeats beyond the ratio.
+        #[serde(deserialize_with = "rounding::down")]
         pub slack: u64,
     }
 
@@ -36,11 +38,6 @@
     }
 }
 
-fn per_mille<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-    let ratio = <f64 as serde::Deserialize>::deserialize(deserializer)?;
-    Ok((ratio * 1000.0).round() as u64)
-}
-
 /// The repeats of one gateway.
 #[derive(Debug)]
 pub struct Repeats {
@@ -83,7 +80,7 @@
     }
 
     fn slice(&mut self, service: &ServiceName, now_ms: u64) -> &mut Slice {
-        let window_ms = self.bounds.window_s * 1000;
+        let window_ms = self.bounds.window_ms;
         let slices = self.services.entry(service.clone()).or_default();
         while slices
             .front()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod http_server;
 pub mod link;
 pub mod metrics;
+pub mod rounding;
 pub mod settings;
 pub mod signals;
 pub mod standin;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
     derives::record,
     entry::routing::RoutingPolicy,
     gateway::repeats::RepeatBounds,
+    rounding,
     units::*,
 };
 use serde::de::DeserializeOwned;
@@ -77,12 +78,19 @@
         #[serde(default)]
         pub admission_port: Option<u16>,
         /// How long it serves on after it turns unready, for the balancer.
-        #[serde(default = "default_balancer_delay_ms")]
+        #[serde(
+            default = "default_balancer_delay_ms",
+            deserialize_with = "rounding::up"
+        )]
         pub balancer_delay_ms: u64,
         /// How long after a request to stop the process is killed; what would last longer
-        /// is not begun then.
-        #[serde(default = "default_stop_grace_s")]
-        pub stop_grace_s: u64,
+        /// is not begun then. In settings `stop_grace_s`, in seconds.
+        #[serde(
+            rename = "stop_grace_s",
+            default = "default_stop_grace_ms",
+            deserialize_with = "rounding::thousandths"
+        )]
+        pub stop_grace_ms: u64,
         /// See [`QuotaTolerance`].
         #[serde(default)]
         pub quota_tolerance: QuotaTolerance,
@@ -133,8 +141,10 @@
     #[serde(deny_unknown_fields)]
     pub struct QuotaTolerance {
         /// The units beyond rate and burst in any window.
+        #[serde(deserialize_with = "rounding::down")]
         pub units: u64,
         /// The length of a window, in seconds.
+        #[serde(deserialize_with = "rounding::up")]
         pub window_s: u64,
     }
 
@@ -164,7 +174,7 @@
         #[serde(default)]
         pub first_start: bool,
         /// How often a target announces itself, in milliseconds.
-        #[serde(default = "default_announcement_ms")]
+        #[serde(default = "default_announcement_ms", deserialize_with = "rounding::up")]
         pub announcement_ms: u64,
     }
 
@@ -228,14 +238,14 @@
 fn default_repeats() -> RepeatBounds {
     RepeatBounds {
         per_mille: 100,
-        window_s: 10,
+        window_ms: 10_000,
         slack: 20,
     }
 }
 
 /// What service managers commonly grant.
-fn default_stop_grace_s() -> u64 {
-    30
+fn default_stop_grace_ms() -> u64 {
+    30_000
 }
 
 fn default_balancer_delay_ms() -> u64 {
--- a/tests/gateway_rules.rs
+++ b/tests/gateway_rules.rs
@@ -9,7 +9,7 @@
 
 const BOUNDS: RepeatBounds = RepeatBounds {
     per_mille: 200,
-    window_s: 10,
+    window_ms: 10_000,
     slack: 60,
 };
 
--- /dev/null
+++ b/tests/settings_numbers.rs
@@ -0,0 +1,63 @@
+//! Numbers in settings that a template fills in: whole, with a fraction, absurd.
+
+use guavacove::settings::{ControlSettings, GatewaySettings};
+
+const GATEWAY: &str = "name: g\nfailure_domain: a\nlisten: \"127.0.0.1:1\"\nreadiness: \
+                       \"127.0.0.1:2\"\ncontrol: [\"127.0.0.1:3\"]\n";
+const CONTROL: &str = "failure_domain: a\ndata_folder: x\ndiscovery:\n  api: \"127.0.0.1:1\"\n  \
+                       peer_port: 2\n  rpc_port: 3\n  seeds: [\"127.0.0.1:1\"]\n";
+
+fn gateway(lines: &str) -> Result<GatewaySettings, String> {
+    serde_norway::from_str(&format!("{GATEWAY}{lines}")).map_err(|error| error.to_string())
+}
+
+fn control(lines: &str) -> Result<ControlSettings, String> {
+    serde_norway::from_str(&format!("{CONTROL}{lines}")).map_err(|error| error.to_string())
+}
+
+macro_rules! numbers {
+    ($($name:ident: $read:ident($line:expr) => $settings:ident: $value:expr, $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let $settings = $read($line).unwrap();
+                assert_eq!($value, $expected);
+            }
+        )*
+    };
+}
+
+numbers! {
+    a_grace_is_rounded_down: gateway("stop_grace_s: 7.9999") => read: read.stop_grace_ms, 7999;
+    a_whole_grace: gateway("stop_grace_s: 8") => read: read.stop_grace_ms, 8000;
+    a_delay_is_rounded_up: gateway("balancer_delay_ms: 2500.2") => read: read.balancer_delay_ms, 2501;
+    a_slack_is_rounded_down: gateway("repeats: {ratio: 0.2, window_s: 10, slack: 37.878787}") => read: read.repeats.slack, 37;
+    a_ratio_is_rounded_down: gateway("repeats: {ratio: 0.1239, window_s: 10, slack: 1}") => read: read.repeats.per_mille, 123;
+    a_window_of_repeats: gateway("repeats: {ratio: 0.2, window_s: 9.5, slack: 1}") => read: read.repeats.window_ms, 9500;
+    tolerated_units_are_rounded_down: gateway("quota_tolerance: {units: 16666.67, window_s: 8}") => read: read.quota_tolerance.units, 16_666;
+    a_window_of_quotas_is_rounded_up: gateway("quota_tolerance: {units: 1, window_s: 7.2}") => read: read.quota_tolerance.window_s, 8;
+    control_tolerates_units_too: control("quota_tolerance: {units: 0.5, window_s: 8.0}") => read: read.quota_tolerance.units, 0;
+    an_interval_is_rounded_up: control("  announcement_ms: 1200.5") => read: read.discovery.unwrap().announcement_ms, 1201;
+}
+
+macro_rules! refused {
+    ($($name:ident: $read:ident($line:expr), $words:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let error = $read($line).unwrap_err();
+                for word in $words {
+                    assert!(error.contains(word), "{word:?} is missing in: {error}");
+                }
+            }
+        )*
+    };
+}
+
+refused! {
+    a_negative_grace: gateway("stop_grace_s: -1"), ["stop_grace_s", "-1", "from 0 to"];
+    an_infinite_slack: gateway("repeats: {ratio: 0.2, window_s: 10, slack: .inf}"), ["repeats.slack", "inf"];
+    no_number: gateway("quota_tolerance: {units: .nan, window_s: 8}"), ["quota_tolerance.units", "NaN"];
+    a_word: gateway("quota_tolerance: {units: many, window_s: 8}"), ["quota_tolerance.units", "many"];
+    an_absurd_window: control("quota_tolerance: {units: 1, window_s: 1e99}"), ["quota_tolerance.window_s", "from 0 to"];
+}
