Send nothing new to targets that say that they leave or want nothing, nor begin what may outlast a stop

Cause: a target tells that it leaves in all its answers, and names with a 503 how long it wants nothing; gateways went by the directory alone and left a full target alone for 100 ms. Ruled out: telling control, whose directory the announcements overwrite; agents are told, who tell the other gateways. Change: notices by name and start, kept over directories that lose a target; agents empty their line at once; refusals name when the first target opens again. While a gateway stops only what must end before the kill is begun, whatever it is expected to take.

--- a/src/agent/keeper.rs
+++ b/src/agent/keeper.rs
@@ -38,6 +38,8 @@
 #[derive(Default)]
 struct State {
     started_unix_ms: u64,
+    /// The latest run of the target that is known to leave.
+    leaving_unix_ms: Option<u64>,
     slots: Slots,
     links: HashMap<u64, LinkSender<FromKeeper>>,
     /// Keeps the link of each request alive while it waits or runs.
@@ -123,6 +125,18 @@
     fn take(&mut self, link: u64, message: ToKeeper) {
         let now_ms = clock::boot_ms();
         let outcomes = match message {
+            ToKeeper::Ask(ask) if self.leaves(ask.started_unix_ms) => {
+                vec![Outcome::Leaves((link, ask.ticket.0))]
+            }
+            ToKeeper::Leaves { started_unix_ms } if self.leaves(started_unix_ms) => Vec::new(),
+            ToKeeper::Leaves { started_unix_ms } => {
+                self.leaving_unix_ms = Some(started_unix_ms);
+                tracing::info!(started_unix_ms, "agent: target leaves");
+                match started_unix_ms < self.started_unix_ms {
+                    true => Vec::new(),
+                    false => self.slots.leave(),
+                }
+            }
             ToKeeper::Ask(ask) => {
                 if ask.started_unix_ms > self.started_unix_ms {
                     self.started_unix_ms = ask.started_unix_ms;
@@ -147,6 +161,11 @@
         self.tell(outcomes);
     }
 
+    fn leaves(&self, started_unix_ms: u64) -> bool {
+        self.leaving_unix_ms
+            .is_some_and(|leaving_unix_ms| started_unix_ms <= leaving_unix_ms)
+    }
+
     fn tell(&mut self, outcomes: Vec<Outcome>) {
         for outcome in outcomes {
             let ((link, ticket), message) = match outcome {
@@ -163,6 +182,11 @@
                     let ticket = TicketNumber(holder.1);
                     (holder, FromKeeper::Refused { ticket, wait_ms })
                 }
+                Outcome::Leaves(holder) => {
+                    self.work.remove(&holder);
+                    let ticket = TicketNumber(holder.1);
+                    (holder, FromKeeper::Leaves { ticket })
+                }
             };
             let told = self.links.get(&link).map(|sender| sender.try_send(message));
             if !matches!(told, Some(Ok(()))) {
--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -33,7 +33,7 @@
 pub type Holder = (u64, u64);
 
 /// What is to be told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
     /// A place is free.
     Granted(Holder),
@@ -41,6 +41,8 @@
     Queued(Holder, u64),
     /// It would wait so many milliseconds, which is too long.
     Refused(Holder, u64),
+    /// The target takes no new work.
+    Leaves(Holder),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -149,6 +151,16 @@
         outcomes.into_iter().flatten().filter(granted).collect()
     }
 
+    /// Empties the line: the target takes no new work. What holds a place keeps it.
+    pub fn leave(&mut self) -> Vec<Outcome> {
+        self.line = WaitingLine::default();
+        self.tickets.clear();
+        let waiting = std::mem::take(&mut self.waiting).into_values();
+        waiting
+            .map(|(entry, _)| Outcome::Leaves(entry.holder))
+            .collect()
+    }
+
     /// Refuses those that can no longer be answered in time.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outcome> {
         self.measure_drain(now_ms);
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -7,6 +7,7 @@
     inbound::{Inbound, end_to_end},
     quotas::Quotas,
     repeats::Repeats,
+    retry_after::retry_after_ms,
     targets::{Place, Targets, Want},
     waiting_line::Waiting,
 };
@@ -28,7 +29,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 use tokio::time::timeout;
 
@@ -334,6 +335,14 @@
         };
         progress.arrivals += 1;
         let answered = self.dialect.answered(response.status(), response.headers());
+        if answered.leaves && !answered.is_another {
+            place.leaves(&inbound.id);
+        }
+        let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let wait_ms = retry_after_ms(response.headers(), SystemTime::now());
+        if let Some(wait_ms) = wait_ms.filter(|_| refused) {
+            place.closed(&inbound.id, wait_ms);
+        }
         let asked = inbound.asked.id.as_ref();
         let crossed = answered
             .id
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -44,6 +44,8 @@
         pub not_run: bool,
         /// Whether it states that it is not the target that was meant.
         pub is_another: bool,
+        /// Whether it states that it takes no new work any more.
+        pub leaves: bool,
     }
 }
 
--- a/src/gateway/keepers.rs
+++ b/src/gateway/keepers.rs
@@ -35,6 +35,8 @@
     Queued(u64),
     /// The request has no place, and would have to wait so many milliseconds.
     Refused(u64),
+    /// The target takes no new work.
+    Leaves,
     /// The agent cannot be reached.
     Lost,
 }
@@ -49,6 +51,9 @@
         ticket: TicketNumber,
         ran_ms: Option<u64>,
     },
+    Leaves {
+        started_unix_ms: u64,
+    },
 }
 
 /// A place that was asked for; given up when it is dropped.
@@ -59,6 +64,14 @@
     pub ran_ms: Option<u64>,
 }
 
+impl Asked {
+    /// Tells the agent that this run of its target said that it leaves.
+    pub fn tell_leaving(&self, started_unix_ms: u64) {
+        // The task ends only with the gateway.
+        let _ = self.commands.send(Command::Leaves { started_unix_ms });
+    }
+}
+
 impl Drop for Asked {
     fn drop(&mut self) {
         // The task ends only with the gateway.
@@ -185,6 +198,14 @@
                     self.lose();
                 }
             }
+            Command::Leaves { started_unix_ms } => {
+                let leaves = ToKeeper::Leaves { started_unix_ms };
+                if let Some(open) = &self.open
+                    && open.sender.try_send(leaves).is_err()
+                {
+                    self.lose();
+                }
+            }
             Command::Drop { ticket, ran_ms } => {
                 let known = self.pending.remove(&ticket).is_some();
                 let drop = ToKeeper::Drop { ticket, ran_ms };
@@ -202,6 +223,7 @@
             FromKeeper::Granted { .. } => Said::Granted,
             FromKeeper::Queued { wait_ms, .. } => Said::Queued(*wait_ms),
             FromKeeper::Refused { wait_ms, .. } => Said::Refused(*wait_ms),
+            FromKeeper::Leaves { .. } => Said::Leaves,
         };
         let ticket = message.ticket();
         if let Some(pending) = self.pending.get_mut(&ticket) {
@@ -213,7 +235,7 @@
                 pending.events = None;
             }
         }
-        if matches!(said, Said::Refused(_)) {
+        if matches!(said, Said::Refused(_) | Said::Leaves) {
             self.pending.remove(&ticket);
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,6 @@
 //! The gateway: routes requests by host and path, and sends them to targets itself.
 //!
-//! The modules `placement`, `waiting_line`, `quotas`, `repeats` and `events` decide;
+//! The modules `placement`, `notices`, `waiting_line`, `quotas`, `repeats` and `events` decide;
 //! they read no clock and open no connection.
 
 mod answer;
@@ -11,9 +11,11 @@
 pub mod events;
 mod inbound;
 mod keepers;
+pub mod notices;
 pub mod placement;
 pub mod quotas;
 pub mod repeats;
+pub mod retry_after;
 mod search;
 mod server;
 mod targets;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -43,6 +43,7 @@
 
     /// Whether a target may get a request at all.
     #[derive(Copy, Default)]
+    #[allow(clippy::struct_excessive_bools)]
     pub struct Standing {
         /// The request was sent there before.
         pub is_tried: bool,
@@ -50,6 +51,8 @@
         pub rests: bool,
         /// Another target answers at its address.
         pub is_replaced: bool,
+        /// It said that it leaves, or that it wants nothing at present.
+        pub is_closed: bool,
     }
 
     /// The prompt as this decision sees it.
@@ -63,9 +66,10 @@
 }
 
 /// The positions of the targets that may get a request: those that rest only if there are no
-/// others, replaced ones never.
+/// others, replaced and closed ones never.
 pub fn usable(standings: &[Standing]) -> Vec<usize> {
-    let open = |standing: &Standing| !standing.is_tried && !standing.is_replaced;
+    let open =
+        |standing: &Standing| !standing.is_tried && !standing.is_replaced && !standing.is_closed;
     let positions = 0..standings.len();
     let (rested, resting): (Vec<usize>, Vec<usize>) = positions
         .filter(|position| open(&standings[*position]))
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -48,6 +48,8 @@
     shortest_ms: Option<u64>,
     /// What agents said.
     pub waits: Waits,
+    /// The positions of the targets that leave, as their agents said.
+    pub leaving: Vec<usize>,
 }
 
 impl<'a> Search<'a> {
@@ -68,6 +70,7 @@
             refusals: 0,
             shortest_ms: None,
             waits: Waits::new(),
+            leaving: Vec::new(),
         }
     }
 
@@ -111,6 +114,10 @@
                     self.shortest_ms = Some(shortest_ms.min(wait_ms));
                     self.open.remove(&number);
                 }
+                Ok(Some((number, Said::Leaves))) => {
+                    self.leaving.push(number);
+                    self.open.remove(&number);
+                }
                 Ok(Some((number, Said::Lost))) => {
                     self.open.remove(&number);
                 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -57,9 +57,8 @@
 
 /// How often demand is reported, parts are taken, and unused connections are closed.
 const UPKEEP_MS: u64 = 250;
-/// How many times its expected time a request is given before a stop: estimates of lengths
-/// are often far off.
-const STOP_MARGIN: u64 = 4;
+/// How long before the process is killed an answer has to be whole, to reach its caller.
+const STOP_MARGIN_MS: u64 = 200;
 /// The advice when to come back to a gateway that stops: another one takes it at once.
 const STOPPING_RETRY_MS: u64 = 20;
 /// The smallest read buffer that the HTTP library takes.
@@ -135,7 +134,7 @@
             attempts,
             stopping: AtomicBool::new(false),
             killed_at_ms: AtomicU64::new(0),
-            stop_grace_ms: settings.stop_grace_s * 1000,
+            stop_grace_ms: settings.stop_grace_ms,
             dialect,
         });
         let asked = Arc::clone(&shared);
@@ -276,12 +275,11 @@
         response
     }
 
-    /// Whether a request would likely still run when this process is killed.
-    fn would_be_cut(&self, inbound: &Inbound) -> bool {
+    /// Whether a request may still run when this process is killed. Only the time that it has
+    /// left bounds it: how long it is expected to run is often far off.
+    fn may_be_cut(&self, inbound: &Inbound) -> bool {
         let killed_at_ms = self.killed_at_ms.load(Ordering::Relaxed);
-        let longest_ms = self.attempts.targets.run_ms(inbound.work_units()) * STOP_MARGIN;
-        let run_ms = longest_ms.min(inbound.left_ms());
-        killed_at_ms > 0 && clock::boot_ms() + run_ms > killed_at_ms
+        killed_at_ms > 0 && inbound.due_ms + STOP_MARGIN_MS > killed_at_ms
     }
 
     async fn answer(
@@ -292,7 +290,7 @@
         let read = Inbound::read(request, &view, self.dialect).await;
         drop(view);
         let (id, answered) = match read {
-            Ok(inbound) if self.would_be_cut(&inbound) => {
+            Ok(inbound) if self.may_be_cut(&inbound) => {
                 let message = "this gateway stops before the answer would be whole";
                 let refusal = Refusal::not_run(Reason::Leaving, message);
                 (inbound.id, Err(refusal.retry_after(STOPPING_RETRY_MS)))
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -2,6 +2,7 @@
 
 use super::{
     keepers::{Asked, Keepers},
+    notices::{Notice, Notices},
     placement::{self, Candidate, Prefix, Standing},
     search::{Found, Search},
     turnout::Turnout,
@@ -55,6 +56,9 @@
 /// The bounds of the advice when to come back.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=5000;
 
+/// The advice when to come back if no target is known to take work again.
+const NO_TARGET_RETRY_MS: u64 = 500;
+
 /// What a request wants of a place.
 pub struct Want<'a> {
     /// The request, for logs.
@@ -82,7 +86,6 @@
     /// The target.
     pub target: TargetEntry,
     began_ms: u64,
-    work_units: u64,
     granted: Option<Asked>,
 }
 
@@ -115,12 +118,11 @@
 #[derive(Default)]
 struct State {
     known: HashMap<TargetName, Known>,
+    notices: Notices,
     lines: BTreeMap<ServiceName, Line>,
     shares: Shares,
     /// By route: requests of one route compete for the same purpose.
     turnouts: HashMap<String, Turnout>,
-    /// The time for one unit of work of late, in microseconds.
-    unit_micros: u64,
 }
 
 /// See the module.
@@ -208,19 +210,25 @@
             let now_ms = clock::boot_ms();
             let targets = self.in_order(&self.state(), want, now_ms);
             if targets.is_empty() {
-                return Err(no_target(want));
+                return Err(self.no_target(&self.state(), want, now_ms));
             }
             let mut search = Search::new(&self.keepers, want, &targets, port);
             let found = search.run().await;
             let waits = std::mem::take(&mut search.waits);
+            let leaving = std::mem::take(&mut search.leaving);
             drop(search);
             let now_ms = clock::boot_ms();
             let mut state = self.state();
             for (name, wait_ms) in waits {
                 state.known.entry(name).or_default().wait = Some((wait_ms, now_ms));
             }
+            for position in leaving {
+                state.notices.leaves(&targets[position], now_ms);
+            }
             match found {
-                Found::Place(position, granted) if self.takes_work(&targets[position]) => {
+                Found::Place(position, granted)
+                    if self.takes_work(&state, &targets[position], now_ms) =>
+                {
                     let target = targets[position].clone();
                     if want.tried.is_empty() {
                         Self::turnout(&mut state, want).count_placed(want.work_units);
@@ -244,17 +252,18 @@
     }
 
     /// Whether a target that was known when a search began still takes new work.
-    fn takes_work(&self, target: &TargetEntry) -> bool {
+    fn takes_work(&self, state: &State, target: &TargetEntry, now_ms: u64) -> bool {
         let view = self.view.load();
         let now = view.targets.get(&target.name);
-        now.is_some_and(|now| !now.leaving && now.started_unix_ms == target.started_unix_ms)
+        state.notices.of(target, now_ms) == Notice::Open
+            && now.is_some_and(|now| !now.leaving && now.started_unix_ms == target.started_unix_ms)
     }
 
     /// Finds a place by this gateway's part of all places.
     async fn place_shared(self: &Arc<Self>, want: &Want<'_>) -> Result<Place, Refusal> {
         let now_ms = clock::boot_ms();
         if self.in_order(&self.state(), want, now_ms).is_empty() {
-            return Err(no_target(want));
+            return Err(self.no_target(&self.state(), want, now_ms));
         }
         let waits = {
             let mut state = self.state();
@@ -264,7 +273,7 @@
                 .or_default()
                 .waiting
                 .is_empty();
-            if line_is_empty && self.has_room(&state, want.service) {
+            if line_is_empty && self.has_room(&state, want.service, now_ms) {
                 return self.choose(&mut state, want, now_ms);
             }
             Self::join(&mut state, want, now_ms)?
@@ -304,11 +313,6 @@
         line.and_then(|line| line.first_ms).unwrap_or(0)
     }
 
-    /// How long a request of so much work takes, as far as was measured of late.
-    pub fn run_ms(&self, work_units: u64) -> u64 {
-        work_units * self.state().unit_micros / 1000
-    }
-
     /// Takes the leader's parts.
     pub fn set_shares(&self, shares: Shares) {
         self.state().shares = shares;
@@ -346,6 +350,11 @@
         self.state()
             .known
             .retain(|name, known| known.in_progress > 0 || view.targets.contains_key(name));
+        let is_listed = |name: &TargetName, started_unix_ms| {
+            let listed = view.targets.get(name);
+            listed.is_some_and(|target| target.started_unix_ms == started_unix_ms)
+        };
+        self.state().notices.sweep(is_listed, clock::boot_ms());
         let routes = &view.policy;
         self.state()
             .turnouts
@@ -357,12 +366,13 @@
     }
 
     /// Whether this gateway's part of the service's places has room for one more.
-    fn has_room(&self, state: &State, service: &ServiceName) -> bool {
+    fn has_room(&self, state: &State, service: &ServiceName, now_ms: u64) -> bool {
         let view = self.view.load();
         let ready = view
             .targets
             .values()
-            .filter(|t| t.service == *service && !t.leaving);
+            .filter(|t| t.service == *service && !t.leaving)
+            .filter(|t| state.notices.of(t, now_ms) == Notice::Open);
         let slots: u64 = ready.map(|target| u64::from(target.slots)).sum();
         let in_progress = state.lines.get(service).map_or(0, |line| line.in_progress);
         let most = match state.shares.services.get(service) {
@@ -382,7 +392,7 @@
     ) -> Result<Place, Refusal> {
         match self.in_order(state, want, now_ms).into_iter().next() {
             Some(target) => Ok(self.take(state, want, target, None, now_ms)),
-            None => Err(no_target(want)),
+            None => Err(self.no_target(state, want, now_ms)),
         }
     }
 
@@ -402,6 +412,7 @@
                     is_replaced: replaced.is_some_and(|(started_unix_ms, until_ms)| {
                         started_unix_ms == target.started_unix_ms && now_ms < until_ms
                     }),
+                    is_closed: state.notices.of(target, now_ms) != Notice::Open,
                 }
             })
             .collect();
@@ -440,7 +451,6 @@
             service: want.service.clone(),
             target,
             began_ms: now_ms,
-            work_units: want.work_units,
             granted,
         }
     }
@@ -482,6 +492,20 @@
         Ok((ticket, woken))
     }
 
+    /// A refusal as no target takes work; if some want nothing for a while, until the first
+    /// of these takes work again.
+    fn no_target(&self, state: &State, want: &Want, now_ms: u64) -> Refusal {
+        let view = self.view.load();
+        let of_service = view.targets.values().filter(|t| t.service == *want.service);
+        let waits = of_service.filter_map(|target| match state.notices.of(target, now_ms) {
+            Notice::ClosedUntil(until_ms) => Some(until_ms - now_ms),
+            Notice::Open | Notice::Leaves => None,
+        });
+        let wait_ms = waits.min().map_or(NO_TARGET_RETRY_MS, retry_after_ms);
+        let message = format!("no target of {} takes work", want.service);
+        Refusal::not_run(Reason::NoTarget, message).retry_after(wait_ms)
+    }
+
     fn shed(&self, want: &Want, message: &str) -> Refusal {
         let now_ms = clock::boot_ms();
         let mut state = self.state();
@@ -496,7 +520,7 @@
         let now_ms = clock::boot_ms();
         // A request that goes counts only once it has run on; the others wait for it.
         let mut woken = 0;
-        while self.has_room_beside(state, service, woken) {
+        while self.has_room_beside(state, service, woken, now_ms) {
             let Some(line) = state.lines.get_mut(service) else {
                 return;
             };
@@ -509,12 +533,18 @@
         }
     }
 
-    fn has_room_beside(&self, state: &mut State, service: &ServiceName, woken: u64) -> bool {
+    fn has_room_beside(
+        &self,
+        state: &mut State,
+        service: &ServiceName,
+        woken: u64,
+        now_ms: u64,
+    ) -> bool {
         let Some(line) = state.lines.get_mut(service) else {
             return false;
         };
         line.in_progress += woken;
-        let room = self.has_room(state, service);
+        let room = self.has_room(state, service, now_ms);
         if let Some(line) = state.lines.get_mut(service) {
             line.in_progress -= woken;
         }
@@ -526,11 +556,6 @@
     wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
 }
 
-fn no_target(want: &Want) -> Refusal {
-    let message = format!("no target of {} takes work", want.service);
-    Refusal::not_run(Reason::NoTarget, message).retry_after(*RETRY_AFTER_MS.start() * 5)
-}
-
 impl Line {
     /// How long a new request of a rank would wait.
     fn expected_wait_ms(&self, waiting: &Waiting, now_ms: u64) -> u64 {
@@ -559,9 +584,6 @@
         let ran_ms = clock::boot_ms().saturating_sub(self.began_ms);
         if let Some(granted) = &mut self.granted {
             granted.ran_ms = Some(ran_ms);
-            let measured = ran_ms * 1000 / self.work_units.max(1);
-            let mut state = self.targets.state();
-            state.unit_micros = (state.unit_micros * 7 + measured) / 8;
         }
     }
 
@@ -606,6 +628,34 @@
         );
     }
 
+    /// Sends nothing new to this run of the target: it said that it leaves.
+    pub fn leaves(&self, request: &str) {
+        let is_news = {
+            let mut state = self.targets.state();
+            state.notices.leaves(&self.target, clock::boot_ms())
+        };
+        if is_news {
+            tracing::info!(
+                request, target = %self.target.name, started_unix_ms = self.target.started_unix_ms,
+                "gateway: target said that it leaves"
+            );
+            if let Some(granted) = &self.granted {
+                granted.tell_leaving(self.target.started_unix_ms);
+            }
+        }
+    }
+
+    /// Sends nothing new to this run of the target for a while: it asked for that.
+    pub fn closed(&self, request: &str, for_ms: u64) {
+        let mut state = self.targets.state();
+        let now_ms = clock::boot_ms();
+        state.notices.closed(&self.target, for_ms, now_ms);
+        tracing::info!(
+            request, target = %self.target.name, for_ms,
+            "gateway: target wants nothing for a while"
+        );
+    }
+
     /// Leaves the target alone for a moment: it said that it is full.
     pub fn full(&self) {
         let mut state = self.targets.state();
--- a/src/grants.rs
+++ b/src/grants.rs
@@ -49,6 +49,11 @@
             /// How long it ran.
             ran_ms: Option<u64>,
         },
+        /// The target said that it takes no new work.
+        Leaves {
+            /// When that run of the target started.
+            started_unix_ms: u64,
+        },
     }
 
     /// From an agent to a gateway.
@@ -72,6 +77,11 @@
             /// How long.
             wait_ms: u64,
         },
+        /// The target takes no new work.
+        Leaves {
+            /// See [`Ask::ticket`].
+            ticket: TicketNumber,
+        },
     }
 }
 
@@ -90,7 +100,8 @@
         match self {
             Self::Granted { ticket }
             | Self::Queued { ticket, .. }
-            | Self::Refused { ticket, .. } => *ticket,
+            | Self::Refused { ticket, .. }
+            | Self::Leaves { ticket } => *ticket,
         }
     }
 }
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -215,6 +215,7 @@
                 }
                 Outcome::Queued(holder, _) if !waiting.contains_key(&holder) => return false,
                 Outcome::Queued(..) => {}
+                Outcome::Leaves(_) => unreachable!("the target does not leave"),
             }
         }
         if holding.len() > 2 || slots.load() != (holding.len(), waiting.len()) {
@@ -364,3 +365,17 @@
         "{whole}% and {less_first}%"
     );
 }
+
+/// An engine is emptied while its line is long: gateways look elsewhere at once.
+#[test]
+fn a_line_is_told_at_once_that_its_target_leaves() {
+    let mut slots = full();
+    for ticket in 3..9 {
+        assert!(granted(&slots.ask((0, ticket), &ask(0, 100), START_MS)).is_empty());
+    }
+    let told: BTreeSet<Outcome> = slots.leave().into_iter().collect();
+    let expected = (3..9).map(|ticket| Outcome::Leaves((0, ticket)));
+    assert_eq!(told, expected.collect());
+    assert_eq!(slots.load(), (2, 0), "what runs keeps its place");
+    assert!(slots.give_up((0, 1), Some(500), START_MS + 500).is_empty());
+}
