Found a group only beside most of the founders, and stay a founder over a restart

Change: a replica founds only if most of the seeds that are present are founders; a founder notes that on its disk before it says so, and joins once most of those it invited have.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -54,6 +54,8 @@
 const DISK_RETRY_MS: u64 = 100;
 /// How long the disk may refuse before the replica stops.
 const DISK_PATIENCE_MS: u64 = 60_000;
+/// The name of the note that this disk belongs to a founder.
+const FOUNDER_NOTE: &str = "founder";
 /// The name of the note of other instances' addresses.
 const INSTANCES_NOTE: &str = "instances";
 /// The name of the note of the latest document and targets.
@@ -220,7 +222,7 @@
         let control = decode_state(&log.snapshot.state)?;
         let last_index = log.last_index();
         tracing::info!("control: replica {id} starts at entry {last_index}");
-        let may_found = identity.may_found && last_index == LogIndex(0);
+        let may_found = may_found(&storage, &identity) && last_index == LogIndex(0);
         let storage_note = storage.read_note(KNOWN_NOTE);
         let known = storage.read_note(INSTANCES_NOTE).unwrap_or_default();
         let roster = Roster::new(
@@ -322,6 +324,23 @@
     }
 }
 
+/// Whether this replica is one of the founders: it was told so, now or at an earlier start
+/// with this disk. Otherwise instances that restart in the middle of the founding would not
+/// count as founders, and too few would be left to found the group.
+fn may_found(storage: &Storage, identity: &Identity) -> bool {
+    let noted = storage.read_note(FOUNDER_NOTE).unwrap_or(false);
+    if noted || !identity.may_found {
+        return noted;
+    }
+    match storage.write_note(FOUNDER_NOTE, &true) {
+        Ok(()) => true,
+        Err(error) => {
+            tracing::warn!(%error, "control: cannot note that this instance is a founder, so it is none");
+            false
+        }
+    }
+}
+
 fn decode_state(bytes: &Bytes) -> Result<ControlState, ActorProcessingErr> {
     match bytes.is_empty() {
         true => Ok(ControlState::default()),
@@ -562,7 +581,7 @@
         let Some(voters) = found else {
             return Ok(());
         };
-        if self.roster.all_in_group(&voters, now_ms) {
+        if self.roster.most_in_group(&voters, now_ms) {
             tracing::info!(voters = voters.len(), "control: founded the group");
             self.step(Input::Found(snapshot(voters)))?;
         } else {
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -215,6 +215,9 @@
         });
         let others: BTreeSet<ReplicaId> = founders.map(|p| p.replica).collect();
         let founder = self.founder && self.durable == disks;
+        // Others that lost their disks may have belonged to a group that this replica was
+        // invited to, and does not know of yet.
+        let most_are_founders = (others.len() + 1) * 2 > self.present_seeds(&present, disks);
         let stranger =
             |presence: &&Presence| presence.in_group && !others.contains(&presence.replica);
         let stranger = present.iter().any(stranger);
@@ -223,19 +226,34 @@
         let mut voters = others.clone();
         voters.insert(self.own);
         match () {
-            () if !founder || !complete || !lowest || stranger => Founding::Wait,
+            () if !founder || !complete || !lowest || stranger || !most_are_founders => {
+                Founding::Wait
+            }
             () if founded == others.len() => Founding::Found(voters),
             () if founded == 0 => Founding::Invite(voters),
             () => Founding::Wait,
         }
     }
 
-    /// Whether all others of a group say that they belong to one.
-    pub fn all_in_group(&self, group: &BTreeSet<ReplicaId>, now_ms: u64) -> bool {
-        let founded = |id: &ReplicaId| {
-            *id == self.own || fresh(&self.heard, now_ms).any(|p| p.replica == *id && p.in_group)
+    /// How many of the instances that may be founders are kept on disks, or are not where no
+    /// instance has one; this one among them.
+    fn present_seeds(&self, present: &[&Presence], disks: bool) -> usize {
+        let is_seed = |presence: &&&Presence| match &self.discovery {
+            Discovery::Listed(_) => true,
+            Discovery::Seeds(seeds) => {
+                seeds.contains(&presence.addresses.peer) && presence.durable == disks
+            }
+        };
+        present.iter().filter(is_seed).count() + 1
+    }
+
+    /// Whether more than half of a group, this replica among them, belong to it if this one
+    /// joins: then it can act, whichever of the others lost their disks meanwhile.
+    pub fn most_in_group(&self, group: &BTreeSet<ReplicaId>, now_ms: u64) -> bool {
+        let founded = |id: &&ReplicaId| {
+            **id == self.own || fresh(&self.heard, now_ms).any(|p| p.replica == **id && p.in_group)
         };
-        group.iter().all(founded)
+        group.iter().filter(founded).count() > group.len() / 2
     }
 
     /// The next step towards the replicas that the group should have; `None` if it has.
