Begin sooner when all start at once: ask all for a version, one for the rest; gather changes

Targets came back under other names; only a leader takes announcements, so 3,093 requests met another target at the known address. Each announcement then answers all waiting renewals, and scans all targets for one at its address. Change: all are asked which version they know, the first that knows one sends the rest, less the text that only operators read; until there is a leader targets are asked for again. A replica without a leader takes a later start at a known address, unacknowledged.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -120,13 +120,14 @@
         (instance.address, instance.client(attempt_ms))
     }
 
-    /// Asks every instance at once, led or not; returns the first reply that `useful` takes.
+    /// Asks every instance at once, led or not; returns the first reply that `useful` takes,
+    /// and a client of the instance that it came from.
     pub async fn ask_all<T, F>(
         &self,
         attempt_ms: u64,
         call: impl Fn(HttpClient) -> F,
         useful: impl Fn(&T) -> bool,
-    ) -> Option<T>
+    ) -> Option<(HttpClient, T)>
     where
         F: Future<Output = Result<T, ClientError>>,
     {
@@ -135,12 +136,15 @@
             let clients = instances.iter_mut();
             clients
                 .filter_map(|instance| instance.client(attempt_ms))
-                .map(|client| timeout(Duration::from_millis(attempt_ms), call(client)))
+                .map(|client| {
+                    let asked = timeout(Duration::from_millis(attempt_ms), call(client.clone()));
+                    async move { (client, asked.await) }
+                })
                 .collect()
         };
-        while let Some(outcome) = calls.next().await {
+        while let Some((client, outcome)) = calls.next().await {
             match outcome {
-                Ok(Ok(reply)) if useful(&reply) => return Some(reply),
+                Ok(Ok(reply)) if useful(&reply) => return Some((client, reply)),
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => tracing::debug!(%error, "control client: no reply"),
                 Err(_) => tracing::debug!(attempt_ms, "control client: no reply in time"),
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -7,7 +7,7 @@
 use super::table::{Changes, Seen, Table};
 use crate::{derives::record, units::*};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
 };
 
@@ -64,10 +64,21 @@
 /// What a reader lacks of the directory.
 pub type TargetChanges = Changes<TargetName, TargetEntry>;
 
+/// Drops targets at whose address a later one has started.
+pub fn drop_replaced(targets: &mut BTreeMap<TargetName, TargetEntry>) {
+    let mut latest: HashMap<SocketAddr, u64> = HashMap::with_capacity(targets.len());
+    for target in targets.values() {
+        let started = latest.entry(target.address).or_default();
+        *started = target.started_unix_ms.max(*started);
+    }
+    targets.retain(|_, target| latest[&target.address] <= target.started_unix_ms);
+}
+
 /// The directory of one leadership.
 #[derive(Default)]
 pub struct Directory {
     table: Table<TargetName, TargetEntry>,
+    by_address: HashMap<SocketAddr, TargetName>,
     latest: BTreeMap<TargetName, AnnouncementOrder>,
     withdrawn: VecDeque<TargetName>,
 }
@@ -105,10 +116,9 @@
         if known.is_some_and(|known| order <= *known) {
             return false;
         }
-        let at_address = self
-            .table
-            .values()
-            .find(|other| other.address == entry.address && other.name != entry.name);
+        let at_address = self.by_address.get(&entry.address);
+        let at_address = at_address.filter(|name| **name != entry.name);
+        let at_address = at_address.and_then(|name| self.table.get(name));
         match at_address.map(|other| (other.name.clone(), other.started_unix_ms)) {
             Some((_, started_unix_ms)) if started_unix_ms > entry.started_unix_ms => {
                 self.forget(entry.name, order);
@@ -116,12 +126,13 @@
             }
             Some((replaced, _)) => {
                 tracing::info!(target = %replaced, successor = %entry.name, "control: target replaced at its address");
-                self.table.remove(&replaced);
+                self.drop_row(&replaced);
                 self.withdrawn.push_back(replaced);
             }
             None => {}
         }
         self.latest.insert(entry.name.clone(), order);
+        self.move_to(&entry);
         self.table.put(entry.name.clone(), entry, now_ms)
     }
 
@@ -132,6 +143,31 @@
             let sequence = u64::MAX;
             self.forget(name.clone(), AnnouncementOrder { sequence, ..order });
         }
+        self.drop_row(name)
+    }
+
+    /// Notes where a target is.
+    fn move_to(&mut self, entry: &TargetEntry) {
+        let before = self.table.get(&entry.name).map(|known| known.address);
+        if before == Some(entry.address) {
+            return;
+        }
+        if let Some(before) = before {
+            self.leave_address(&entry.name, before);
+        }
+        self.by_address.insert(entry.address, entry.name.clone());
+    }
+
+    fn leave_address(&mut self, name: &TargetName, address: SocketAddr) {
+        if self.by_address.get(&address) == Some(name) {
+            self.by_address.remove(&address);
+        }
+    }
+
+    fn drop_row(&mut self, name: &TargetName) -> bool {
+        if let Some(address) = self.table.get(name).map(|known| known.address) {
+            self.leave_address(name, address);
+        }
         self.table.remove(name)
     }
 
@@ -149,7 +185,12 @@
 
     /// Removes the targets whose lease has run out; returns their names.
     pub fn expire(&mut self, lease_ms: u64, now_ms: u64) -> Vec<TargetName> {
-        self.table.expire(lease_ms, now_ms)
+        let gone = self.table.expire(lease_ms, now_ms);
+        if !gone.is_empty() {
+            let table = &self.table;
+            self.by_address.retain(|_, name| table.get(name).is_some());
+        }
+        gone
     }
 
     /// What a reader lacks.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -93,7 +93,7 @@
     /// Hands out parts of customers' contracts.
     Limits(ProcessName, Vec<LimitWant>, Port<Vec<LimitGrant>>),
     /// Reads what this replica knows, led or not.
-    Peek(Port<PeekReply>),
+    Peek(Wanted, Port<PeekReply>),
     /// Reads the document.
     Get(Port<AcceptedDocument>),
     /// Takes what a target says of itself.
@@ -178,6 +178,8 @@
     /// What is known apart from the log: served without a leader, kept over a restart.
     known: Known,
     known_changed: bool,
+    /// Whether something changed that readers are told with the next tick.
+    has_news: bool,
     known_kept_ms: u64,
     spread: Option<directory::TargetsSeen>,
     spread_ms: u64,
@@ -253,6 +255,7 @@
             directory: Directory::default(),
             known: storage_note.unwrap_or_default(),
             known_changed: false,
+            has_news: false,
             known_kept_ms: 0,
             spread: None,
             spread_ms: 0,
@@ -290,18 +293,26 @@
             ReplicaMessage::Limits(entry, wants, port) => {
                 let _ = port.send(state.leased().map(|()| state.limit(&entry, &wants)));
             }
-            ReplicaMessage::Peek(port) => {
-                let _ = port.send(Ok(PeekReply {
-                    known: state.known.clone(),
-                    control: state.roster.rpc_addresses(state.now_ms()),
-                }));
+            ReplicaMessage::Peek(wanted, port) => {
+                let _ = port.send(Ok(state.peek(wanted)));
             }
             ReplicaMessage::Get(port) => {
                 let reply = state.leased().map(|()| state.control.document().clone());
                 let _ = port.send(reply);
             }
             ReplicaMessage::Announce(announcement, port) => {
-                let taken = state.leading().map(|()| state.announce(announcement));
+                let taken = match state.leading() {
+                    Ok(()) => {
+                        state.announce(announcement);
+                        Ok(())
+                    }
+                    Err(error) => {
+                        if state.core.leader().is_none() {
+                            state.known_changed |= state.known.hear(announcement);
+                        }
+                        Err(error)
+                    }
+                };
                 let _ = port.send(taken);
             }
             ReplicaMessage::Withdraw(target, port) => {
@@ -526,6 +537,23 @@
         Ok(())
     }
 
+    /// What this replica knows, led or not.
+    fn peek(&self, wanted: Wanted) -> PeekReply {
+        let known = match wanted {
+            Wanted::Version => Known::default(),
+            Wanted::Targets => Known {
+                document: AcceptedDocument::default(),
+                ..self.known.clone()
+            },
+            Wanted::All => self.known.clone().without_source(),
+        };
+        PeekReply {
+            version: self.known.document.version,
+            known,
+            control: self.roster.rpc_addresses(self.now_ms()),
+        }
+    }
+
     /// Notes the document in force; it is committed.
     fn know_document(&mut self) {
         if self.control.document().version > self.known.document.version {
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -44,7 +44,9 @@
         self.settled |= settles;
         self.directory_settled |= directory_settles;
         self.spread_directory(now_ms);
-        if settles || directory_settles || !gone.is_empty() || !lost.is_empty() {
+        self.has_news |= settles || directory_settles || !gone.is_empty() || !lost.is_empty();
+        // Gathered: while many targets announce themselves, each change would wake everybody.
+        if std::mem::take(&mut self.has_news) {
             self.answer_waiting();
         }
         self.answer_late(now_ms);
@@ -109,7 +111,7 @@
                 sequence, started_unix_ms = entry.started_unix_ms, leaving = entry.leaving,
                 "control: target changed"
             );
-            self.answer_waiting();
+            self.has_news = true;
         }
     }
 
@@ -117,7 +119,7 @@
     pub(super) fn withdraw(&mut self, target: &TargetName) {
         if self.directory.withdraw(target) {
             tracing::info!(%target, "control: target withdrawn");
-            self.answer_waiting();
+            self.has_news = true;
         }
     }
 
@@ -166,9 +168,7 @@
                 arrived_ms: now_ms,
             });
         }
-        if changed {
-            self.answer_waiting();
-        }
+        self.has_news |= changed;
     }
 
     /// Hands out parts of the contracts in the document in force.
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -77,10 +77,23 @@
         pub gateways: u64,
     }
 
+    /// What is wanted of an instance that may not lead.
+    #[derive(Copy)]
+    pub enum Wanted {
+        /// Which document it knows: little to send, so that all may be asked.
+        Version,
+        /// The targets that it knows.
+        Targets,
+        /// All that it knows.
+        All,
+    }
+
     /// What any control instance answers, led or not.
     #[derive(Default)]
     pub struct PeekReply {
-        /// What its replica knows.
+        /// The version of the document that its replica knows; 0 if it knows none.
+        pub version: DocumentVersion,
+        /// What its replica knows, as far as it is wanted.
         pub known: Known,
         /// The RPC addresses of the control instances that it has heard of lately.
         pub control: Vec<std::net::SocketAddr>,
@@ -142,6 +155,31 @@
     }
 }
 
+impl Known {
+    /// The same less the text that operators sent, which only they read.
+    pub fn without_source(mut self) -> Self {
+        self.document.source = None;
+        self
+    }
+
+    /// Takes what a target says of itself while there is no leader; returns whether it is
+    /// news. It is not acknowledged, so the target says it again. Only a later start at a
+    /// known address is taken: what withdrew or leaves is known to leaders alone.
+    pub fn hear(&mut self, announcement: TargetAnnouncement) -> bool {
+        let replaced = self.targets.iter_mut().find(|known| {
+            known.entry.address == announcement.entry.address
+                && known.entry.started_unix_ms < announcement.entry.started_unix_ms
+        });
+        match replaced {
+            Some(replaced) => {
+                *replaced = announcement;
+                true
+            }
+            None => false,
+        }
+    }
+}
+
 /// The RPC as `jsonrpsee` serves and calls it.
 #[rpc(server, client, namespace = "guavacove")]
 pub trait ControlRpc {
@@ -170,7 +208,7 @@
     /// Reads what any replica knows, led or not: for a process that has just started and
     /// knows nothing.
     #[method(name = "peek")]
-    async fn peek(&self) -> RpcResult<PeekReply>;
+    async fn peek(&self, wanted: Wanted) -> RpcResult<PeekReply>;
 
     /// Reads the document in force.
     #[method(name = "get")]
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -247,8 +247,8 @@
         }
     }
 
-    async fn peek(&self) -> RpcResult<PeekReply> {
-        self.ask(ReplicaMessage::Peek).await
+    async fn peek(&self, wanted: Wanted) -> RpcResult<PeekReply> {
+        self.ask(|port| ReplicaMessage::Peek(wanted, port)).await
     }
 
     async fn get(&self) -> RpcResult<AcceptedDocument> {
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -9,7 +9,7 @@
     clock,
     control::{
         ControlClient,
-        directory::{TargetChanges, TargetEntry, TargetsSeen},
+        directory::{TargetChanges, TargetEntry, TargetsSeen, drop_replaced},
         members::*,
         orders::TargetOrders,
         rpc::*,
@@ -21,6 +21,7 @@
     units::*,
 };
 use arc_swap::ArcSwap;
+use jsonrpsee::http_client::HttpClient;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{
     collections::BTreeMap,
@@ -42,11 +43,15 @@
 const RENEWAL_TIMEOUT_MS: u64 = 1500;
 /// How long a look at what any control instance knows may take.
 const PEEK_MS: u64 = 300;
+/// How long an instance that knows something may take to send it.
+const FETCH_MS: u64 = 1500;
 /// How long to wait after the first look that found nothing; then half as long again each
 /// time.
 const PEEK_PAUSE_MS: u64 = 50;
 /// The longest wait between two looks: a group that has no document yet is asked by many.
 const LONGEST_PEEK_PAUSE_MS: u64 = 1000;
+/// How many targets that change at once are logged one by one.
+const LOGGED_TARGETS: usize = 16;
 /// How long a goodbye may take.
 const GOODBYE_TIMEOUT_MS: u64 = 1000;
 
@@ -280,34 +285,72 @@
 }
 
 impl Peeking {
-    /// Runs until a document is known, from here or from the leader.
+    /// Runs until the leader has renewed the view. All are asked what they know; one of those
+    /// that know something sends it, as it is long. Until there is a leader, targets may be
+    /// started again at their addresses, and are asked for again.
     async fn run(self, keeper: ActorRef<Renewed>) {
         let mut pause_ms = PEEK_PAUSE_MS;
-        let unknown = || self.view.load().policy.version == DocumentVersion(0);
-        while unknown() {
+        loop {
+            let view = self.view.load();
+            if view.valid_until_ms > 0 {
+                return;
+            }
+            let wanted = match view.policy.version {
+                DocumentVersion(0) => Wanted::All,
+                _ => Wanted::Targets,
+            };
+            drop(view);
             let learnt = AtomicBool::new(false);
             let reply = self.client.ask_all(
                 PEEK_MS,
-                |client| async move { client.peek().await },
+                |client| async move { client.peek(Wanted::Version).await },
                 |reply| {
                     learnt.fetch_or(self.client.learn(&reply.control), Ordering::Relaxed);
-                    reply.known.document.version > DocumentVersion(0)
+                    reply.version > DocumentVersion(0)
                 },
             );
-            match reply.await {
-                Some(reply) => Self::begin_with(reply.known, &keeper).await,
-                // Instances without a disk know the others, but no document after a restart.
-                None if learnt.load(Ordering::Relaxed) => pause_ms = PEEK_PAUSE_MS,
-                None => {
-                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-                    pause_ms = (pause_ms * 3 / 2).min(LONGEST_PEEK_PAUSE_MS);
+            let known = match reply.await {
+                Some((client, _)) => Self::fetch(&client, wanted).await,
+                None => None,
+            };
+            match (known, wanted) {
+                (Some(known), _) => {
+                    Self::begin_with(known, &keeper).await;
+                    pause_ms = LONGEST_PEEK_PAUSE_MS;
+                }
+                (None, Wanted::All) if learnt.load(Ordering::Relaxed) => {
+                    // Instances without a disk know the others, but no document after a restart.
+                    pause_ms = PEEK_PAUSE_MS;
+                    continue;
                 }
+                (None, _) => pause_ms = (pause_ms * 3 / 2).min(LONGEST_PEEK_PAUSE_MS),
+            }
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    async fn fetch(client: &HttpClient, wanted: Wanted) -> Option<Known> {
+        let fetching = client.peek(wanted);
+        let fetched = tokio::time::timeout(Duration::from_millis(FETCH_MS), fetching).await;
+        match fetched {
+            Ok(Ok(reply)) => Some(reply.known),
+            Ok(Err(error)) => {
+                tracing::info!(%error, "view: what a control instance knows did not come");
+                None
+            }
+            Err(_) => {
+                tracing::info!(
+                    waited_ms = FETCH_MS,
+                    "view: what a control instance knows did not come"
+                );
+                None
             }
         }
     }
 
     async fn begin_with(known: Known, keeper: &ActorRef<Renewed>) {
         let version = known.document.version;
+        let known_targets = known.targets.len();
         let targets = known.targets.into_iter().map(|target| target.entry);
         let shares = Shares {
             gateways: known.gateways,
@@ -315,7 +358,7 @@
         };
         let reply = SyncReply {
             shares: Some(shares),
-            document: Some(known.document),
+            document: Some(known.document).filter(|document| document.version > DocumentVersion(0)),
             targets: Some(TargetChanges {
                 seen: Seen::default(),
                 whole: true,
@@ -330,7 +373,9 @@
             done
         });
         match merged {
-            Ok(()) => tracing::info!(%version, "view: begins with what a control instance knew"),
+            Ok(()) => tracing::info!(
+                %version, targets = known_targets, "view: goes by what a control instance knew"
+            ),
             Err(error) => tracing::warn!(%error, "view: not merged"),
         }
     }
@@ -440,6 +485,9 @@
         }
         let present = changes.present.into_iter();
         targets.extend(present.map(|target| (target.name.clone(), target)));
+        if changes.whole {
+            drop_replaced(&mut targets);
+        }
         log_targets(&view.targets, &targets);
         view.targets = Arc::new(targets);
         view.targets_seen = Some(changes.seen);
@@ -453,21 +501,39 @@
     true
 }
 
-/// Logs which targets came, went or changed.
+/// Logs which targets came, went or changed; only how many if they are many, as when a view
+/// begins.
 fn log_targets(
     before: &BTreeMap<TargetName, TargetEntry>,
     after: &BTreeMap<TargetName, TargetEntry>,
 ) {
-    for (name, target) in after {
-        if before.get(name) != Some(target) {
-            tracing::info!(
-                target = %name, service = %target.service, address = %target.address,
-                started_unix_ms = target.started_unix_ms, leaving = target.leaving,
-                "view: target changed"
-            );
-        }
+    let changed: Vec<&TargetEntry> = after
+        .values()
+        .filter(|target| before.get(&target.name) != Some(target))
+        .collect();
+    let gone: Vec<&TargetName> = before
+        .keys()
+        .filter(|name| !after.contains_key(*name))
+        .collect();
+    if changed.len() + gone.len() > LOGGED_TARGETS {
+        let leaving = changed.iter().filter(|target| target.leaving).count();
+        tracing::info!(
+            targets = after.len(),
+            changed = changed.len(),
+            leaving,
+            gone = gone.len(),
+            "view: targets changed"
+        );
+        return;
+    }
+    for target in changed {
+        tracing::info!(
+            target = %target.name, service = %target.service, address = %target.address,
+            started_unix_ms = target.started_unix_ms, leaving = target.leaving,
+            "view: target changed"
+        );
     }
-    for name in before.keys().filter(|name| !after.contains_key(*name)) {
+    for name in gone {
         tracing::info!(target = %name, "view: target gone");
     }
 }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -1,7 +1,10 @@
 //! The directory of targets, under announcements that are late, double or out of order.
 
 use guavacove::{
-    control::directory::{Directory, TargetAnnouncement, TargetEntry},
+    control::{
+        directory::{Directory, TargetAnnouncement, TargetEntry, drop_replaced},
+        rpc::Known,
+    },
     units::FencingNumber,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -132,3 +135,71 @@
         .tests(300)
         .quickcheck(order_of_arrival_does_not_matter as fn(Vec<Sent>) -> bool);
 }
+
+/// All lose power and come back under other names; nobody leads yet.
+#[test]
+fn a_replica_without_a_leader_hears_who_started_again_at_known_addresses() {
+    let mut known = Known {
+        targets: vec![
+            at_port("old-1", 10, 90, false, 7001),
+            at_port("old-2", 10, 90, true, 7002),
+        ],
+        ..Known::default()
+    };
+    assert!(known.hear(at_port("new-1", 20, 1, false, 7001)));
+    assert!(!known.hear(at_port("old-1", 10, 91, false, 7001)), "late");
+    assert!(!known.hear(at_port("new-1", 20, 2, false, 7001)), "no news");
+    assert!(
+        !known.hear(at_port("old-2", 10, 91, false, 7002)),
+        "may have left"
+    );
+    assert!(
+        !known.hear(at_port("other", 20, 1, false, 7003)),
+        "may have withdrawn"
+    );
+    let known: Vec<&str> = known
+        .targets
+        .iter()
+        .map(|t| t.entry.name.0.as_str())
+        .collect();
+    assert_eq!(known, ["new-1", "old-2"]);
+}
+
+#[test]
+fn a_view_drops_targets_at_whose_address_a_later_one_started() {
+    let entries = [
+        at_port("old-1", 10, 1, false, 7001).entry,
+        at_port("new-1", 20, 1, false, 7001).entry,
+        at_port("other", 5, 1, false, 7002).entry,
+    ];
+    let mut targets = entries.map(|entry| (entry.name.clone(), entry)).into();
+    drop_replaced(&mut targets);
+    let names: Vec<&str> = targets.keys().map(|name| name.0.as_str()).collect();
+    assert_eq!(names, ["new-1", "other"]);
+}
+
+/// A target moves to another address, and another one takes its old one.
+#[test]
+fn addresses_follow_their_targets() {
+    let mut directory = Directory::default();
+    directory.announce(at_port("a", 10, 1, false, 7001), 1);
+    directory.announce(at_port("a", 10, 2, false, 7002), 2);
+    directory.announce(at_port("b", 5, 1, false, 7001), 3);
+    assert_eq!(directory.targets().len(), 2, "the old address is free");
+    directory.announce(at_port("c", 20, 1, false, 7002), 4);
+    let names: Vec<String> = names(&directory)
+        .into_iter()
+        .map(|(name, _)| name)
+        .collect();
+    assert_eq!(names, ["b", "c"]);
+    directory.withdraw(&"c".into());
+    directory.announce(at_port("d", 1, 1, false, 7002), 5);
+    assert_eq!(
+        directory.targets().len(),
+        2,
+        "what withdrew holds no address"
+    );
+    directory.expire(100, 1000);
+    directory.announce(at_port("e", 0, 1, false, 7001), 1001);
+    assert_eq!(directory.targets().len(), 1);
+}
