Ask a busy leader's accounts longer before a refusal, and send documents to some at each tick

Ruled out: a longer wait for all (plain calls have an objective of 120 ms); own parts for customers at their limit (they would pass the quota at each change). Change: a customer that is well within its quota uses the own part after 100 ms and waits for the accounts before it is refused; one that is not waits up to 500 ms. Documents go to eight processes at each tick.

--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// To how many processes the document is sent at each tick: a leader with a third of a core
+/// writes as many within a tick.
+const DOCUMENTS_A_TICK: usize = 8;
+
 impl ReplicaState {
     /// What a leader does at each tick: members, replicas, old claims.
     pub(super) fn lead(&mut self) -> Result<(), ActorProcessingErr> {
@@ -258,12 +262,21 @@
         let _ = port.send(Ok(reply));
     }
 
-    /// Answers those that wait and now lack something.
+    /// Answers those that wait and now lack something. Documents are long: they go to some at
+    /// each tick, so that others are answered between them.
     pub(super) fn answer_waiting(&mut self) {
         if self.leased().is_err() {
             return;
         }
+        let (version, mut documents) = (self.control.document().version, 0);
         for waiting in std::mem::take(&mut self.waiting) {
+            let lacks_document = waiting.request.document_version != version;
+            documents += usize::from(lacks_document);
+            if lacks_document && documents > DOCUMENTS_A_TICK {
+                self.has_news = true;
+                self.waiting.push(waiting);
+                continue;
+            }
             match self.reply_to(&waiting.request, waiting.arrived_ms) {
                 (reply, true) => Self::answer(waiting.port, reply),
                 (_, false) => self.waiting.push(waiting),
--- a/src/gateway/account_link.rs
+++ b/src/gateway/account_link.rs
@@ -21,10 +21,22 @@
     time::timeout,
 };
 
-/// How long the leader may take to answer: a caller waits meanwhile.
+/// How long a caller waits for the leader before its gateway's own part is used.
 const ANSWER_MS: u64 = 100;
-/// How long accounts that did not answer are not asked again.
-const AWAY_MS: u64 = 300;
+/// How long the accounts may be silent before they count as out of reach: a leader that is
+/// busy answers within this time.
+const PATIENCE_MS: u64 = 500;
+/// How often accounts that are out of reach are asked.
+const PROBE_MS: u64 = 300;
+/// How long a connection to the accounts may take to be made.
+const CONNECT_MS: u64 = 200;
+
+/// A charge that was asked for. If it is dropped first, what is charged is given back.
+pub struct Asked<'a> {
+    link: &'a AccountLink,
+    charge: oneshot::Receiver<Charge>,
+    since_ms: u64,
+}
 
 enum Command {
     Charge {
@@ -42,7 +54,10 @@
 /// See the module.
 pub struct AccountLink {
     commands: mpsc::UnboundedSender<Command>,
-    away_until_ms: AtomicU64,
+    /// When the first charge was asked for that was not answered in time, if none was
+    /// answered since; 0 otherwise.
+    silent_since_ms: AtomicU64,
+    probed_ms: AtomicU64,
 }
 
 impl AccountLink {
@@ -52,20 +67,26 @@
         tokio::spawn(Link::default().run(received));
         Self {
             commands,
-            away_until_ms: AtomicU64::new(0),
+            silent_since_ms: AtomicU64::new(0),
+            probed_ms: AtomicU64::new(0),
         }
     }
 
-    /// Charges units to a customer at the accounts at this address; `None` if they cannot be
-    /// reached.
-    pub async fn charge(
+    /// Asks the accounts at this address to charge units to a customer; `None` while they are
+    /// out of reach, but for a probe now and then.
+    pub fn ask(
         &self,
         accounts: SocketAddr,
         customer: &CustomerName,
         units: u64,
-    ) -> Option<Charge> {
-        if clock::boot_ms() < self.away_until_ms.load(Ordering::Relaxed) {
-            return None;
+    ) -> Option<Asked<'_>> {
+        let now_ms = clock::boot_ms();
+        let silent_since_ms = self.silent_since_ms.load(Ordering::Relaxed);
+        if silent_since_ms > 0 && now_ms > silent_since_ms + PATIENCE_MS {
+            if now_ms < self.probed_ms.load(Ordering::Relaxed) + PROBE_MS {
+                return None;
+            }
+            self.probed_ms.store(now_ms, Ordering::Relaxed);
         }
         let (told, charge) = oneshot::channel();
         // The task ends only with the gateway.
@@ -75,14 +96,11 @@
             units,
             told,
         });
-        let charge = timeout(Duration::from_millis(ANSWER_MS), charge).await;
-        let charge = charge.ok().and_then(Result::ok);
-        if charge.is_none() {
-            let away_until_ms = clock::boot_ms() + AWAY_MS;
-            self.away_until_ms.store(away_until_ms, Ordering::Relaxed);
-            tracing::info!(%accounts, away_ms = AWAY_MS, "gateway: accounts of quotas not reached");
-        }
-        charge
+        Some(Asked {
+            link: self,
+            charge,
+            since_ms: now_ms,
+        })
     }
 
     /// Gives back units of a request that did not run.
@@ -92,6 +110,45 @@
     }
 }
 
+impl Asked<'_> {
+    /// Waits a little for the charge: while an own part may be used meanwhile.
+    pub async fn soon(&mut self) -> Option<Charge> {
+        self.within(ANSWER_MS).await
+    }
+
+    /// Waits as long as a busy leader may take.
+    pub async fn patiently(&mut self) -> Option<Charge> {
+        self.within(PATIENCE_MS).await
+    }
+
+    /// Waits until so long after it was asked for.
+    async fn within(&mut self, wait_ms: u64) -> Option<Charge> {
+        let until_ms = self.since_ms + wait_ms;
+        let left_ms = until_ms.saturating_sub(clock::boot_ms());
+        let charge = timeout(Duration::from_millis(left_ms), &mut self.charge).await;
+        let charge = charge.ok().and_then(Result::ok);
+        let silent_since_ms = &self.link.silent_since_ms;
+        match charge {
+            Some(_) => silent_since_ms.store(0, Ordering::Relaxed),
+            None => {
+                let first = silent_since_ms.compare_exchange(
+                    0,
+                    self.since_ms.max(1),
+                    Ordering::Relaxed,
+                    Ordering::Relaxed,
+                );
+                if first.is_ok() {
+                    tracing::info!(
+                        waited_ms = wait_ms - left_ms.min(wait_ms),
+                        "gateway: accounts of quotas are silent"
+                    );
+                }
+            }
+        }
+        charge
+    }
+}
+
 struct OpenLink {
     address: SocketAddr,
     sender: LinkSender<ToAccounts>,
@@ -216,7 +273,7 @@
         }
         self.open = None;
         self.pending.clear();
-        let connecting = timeout(Duration::from_millis(ANSWER_MS), link::connect(address));
+        let connecting = timeout(Duration::from_millis(CONNECT_MS), link::connect(address));
         match connecting.await {
             Ok(Ok((sender, receiver))) => {
                 self.open = Some(OpenLink {
@@ -229,7 +286,7 @@
                 tracing::warn!(%address, %error, "gateway: no link to accounts");
             }
             Err(_) => {
-                tracing::warn!(%address, waited_ms = ANSWER_MS, "gateway: no link to accounts");
+                tracing::warn!(%address, waited_ms = CONNECT_MS, "gateway: no link to accounts");
             }
         }
     }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -174,25 +174,33 @@
         };
         let (customer, units) = (&customer.name, inbound.quota_units());
         let accounts = self.view.load().accounts;
-        let charge = match accounts {
-            Some(accounts) => self.accounts.charge(accounts, customer, units).await,
+        let mut asked = accounts.and_then(|accounts| self.accounts.ask(accounts, customer, units));
+        let is_short = self.quotas().is_short(customer);
+        let mut charge = match &mut asked {
+            Some(asked) if is_short => asked.patiently().await,
+            Some(asked) => asked.soon().await,
             None => None,
         };
         let now_ms = clock::boot_ms();
-        let (paid, kind) = match charge {
-            Some(charge) => {
-                let is_ample = charge == Charge::Charged { is_ample: true };
+        let own = match charge {
+            Some(_) => Err(0),
+            None => self.quotas().take(customer, quota, units, now_ms),
+        };
+        if let (None, Err(_), Some(asked)) = (charge, own, &mut asked) {
+            // Only the accounts know for sure that there is no more.
+            charge = asked.patiently().await;
+        }
+        let (paid, kind) = match (charge, own) {
+            (Some(Charge::Charged { is_ample }), _) => {
                 self.quotas().asked(customer, is_ample, now_ms);
-                match charge {
-                    Charge::Charged { .. } => (Ok(Payment::Account), "account"),
-                    Charge::Refused { wait_ms } => (Err(wait_ms), "refused"),
-                }
+                (Ok(Payment::Account), "account")
             }
-            None => {
-                let taken = self.quotas().take(customer, quota, units, now_ms);
-                let kind = if taken.is_ok() { "own" } else { "refused" };
-                (taken.map(|()| Payment::OwnPart), kind)
+            (Some(Charge::Refused { wait_ms }), _) => {
+                self.quotas().asked(customer, false, now_ms);
+                (Err(wait_ms), "refused")
             }
+            (None, Ok(())) => (Ok(Payment::OwnPart), "own"),
+            (None, Err(wait_ms)) => (Err(wait_ms), "refused"),
         };
         metrics::gateway_quota(kind, units);
         paid.map_err(|wait_ms| {
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -24,6 +24,8 @@
     milli_units: u64,
     most_milli: u64,
     filled_ms: u64,
+    /// Whether the customer was not well within its quota when the accounts were last asked.
+    is_short: bool,
 }
 
 /// The buckets of one gateway.
@@ -68,11 +70,20 @@
                 milli_units: 0,
                 most_milli: 0,
                 filled_ms: now_ms,
+                is_short: true,
             };
             self.buckets.insert(customer.clone(), emptied);
+        } else if let Some(bucket) = self.buckets.get_mut(customer) {
+            bucket.is_short = false;
         }
     }
 
+    /// Whether a customer was not well within its quota when the accounts were last asked.
+    pub fn is_short(&self, customer: &CustomerName) -> bool {
+        let bucket = self.buckets.get(customer);
+        bucket.is_some_and(|bucket| bucket.is_short)
+    }
+
     /// Takes units of this gateway's part, or tells in how many milliseconds there will be
     /// enough.
     pub fn take(
@@ -98,6 +109,7 @@
             milli_units: most_milli,
             most_milli,
             filled_ms: now_ms,
+            is_short: false,
         });
         bucket.fill(rate_per_s, most_milli, now_ms);
         match bucket.milli_units.checked_sub(units.saturating_mul(1000)) {
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -408,3 +408,22 @@
             .is_ok_and(|()| quotas.take(&customer, QUOTA, 1, START_MS).is_err())
     );
 }
+
+/// The leader is busy for a moment, as when a document is sent to all.
+#[test]
+fn a_customer_at_its_limit_gains_nothing_by_accounts_that_are_silent_for_a_moment() {
+    let customer = CustomerName::from("hot");
+    let mut quotas = Quotas::new(0);
+    quotas.set_gateways(7, START_MS + SHARE_LEASE_MS);
+    assert!(!quotas.is_short(&customer), "nothing is known of it");
+    let mut admitted = 0;
+    for spell in 0..5 {
+        let now_ms = START_MS + spell * 1400;
+        quotas.asked(&customer, false, now_ms);
+        assert!(quotas.is_short(&customer));
+        admitted += u64::from(quotas.take(&customer, CONTRACT, 3300, now_ms + 200).is_ok());
+    }
+    assert_eq!(admitted, 0);
+    quotas.asked(&customer, true, START_MS + 7000);
+    assert!(!quotas.is_short(&customer));
+}
