Send long work to targets that end it in time; spread what targets say without a leader

Agents know the pace of their targets, gateways did not. After a loss of all power each instance hears some of the targets that came back, and gateways looked again after a second: 5,578 refusals as another target answers at its address. Ruled out: refusing at the slow agent (estimates of lengths are off by two). Change: agents tell the pace with places; a target on which the expected run passes the time left costs so much more. Agents measure a pace by the first answers, not by an assumed one. Long work is let go first until it gets three quarters of its part. Instances without a leader tell each other what they hear, gateways look every 300 ms.

--- a/src/agent/keeper.rs
+++ b/src/agent/keeper.rs
@@ -167,15 +167,25 @@
     }
 
     fn tell(&mut self, outcomes: Vec<Outcome>) {
+        let unit_micros = self.slots.pace();
         for outcome in outcomes {
             let ((link, ticket), message) = match outcome {
                 Outcome::Granted(holder) => {
                     let ticket = TicketNumber(holder.1);
-                    (holder, FromKeeper::Granted { ticket })
+                    let granted = FromKeeper::Granted {
+                        ticket,
+                        unit_micros,
+                    };
+                    (holder, granted)
                 }
                 Outcome::Queued(holder, wait_ms) => {
                     let ticket = TicketNumber(holder.1);
-                    (holder, FromKeeper::Queued { ticket, wait_ms })
+                    let queued = FromKeeper::Queued {
+                        ticket,
+                        wait_ms,
+                        unit_micros,
+                    };
+                    (holder, queued)
                 }
                 Outcome::Refused(holder, wait_ms) => {
                     self.work.remove(&holder);
--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -21,8 +21,10 @@
 const ASSUMED_UNIT_MICROS: u64 = 5000;
 /// The work of a request before any was measured.
 const ASSUMED_RUN_UNITS: u64 = 100;
-/// The part of a new measurement in the pace: one of so many.
+/// The part of a new measurement in the pace: one of so many, once there are as many.
 const PACE_SAMPLES: u64 = 16;
+/// How many measurements tell a pace: lengths are estimated, and often far off.
+const LEAST_MEASURED: u64 = 4;
 
 /// How long the rate at which the line gets shorter is averaged over.
 const DRAIN_MS: u64 = 1000;
@@ -61,6 +63,8 @@
     tickets: BTreeMap<Holder, Ticket>,
     holding: BTreeMap<Holder, u64>,
     unit_micros: u64,
+    /// How many requests the pace was measured by, up to [`PACE_SAMPLES`].
+    measured: u64,
     run_units: u64,
     left: u64,
     left_since_ms: u64,
@@ -79,6 +83,7 @@
             tickets: BTreeMap::new(),
             holding: BTreeMap::new(),
             unit_micros: ASSUMED_UNIT_MICROS,
+            measured: 0,
             run_units: ASSUMED_RUN_UNITS,
             left: 0,
             left_since_ms: 0,
@@ -133,8 +138,10 @@
         }
         if let (Some(units), Some(ran_ms)) = (self.holding.remove(&holder), ran_ms) {
             let measured = ran_ms * 1000 / units.max(1);
-            self.run_units = (self.run_units * (PACE_SAMPLES - 1) + units) / PACE_SAMPLES;
-            self.unit_micros = (self.unit_micros * (PACE_SAMPLES - 1) + measured) / PACE_SAMPLES;
+            self.measured = (self.measured + 1).min(PACE_SAMPLES);
+            let samples = self.measured;
+            self.run_units = (self.run_units * (samples - 1) + units) / samples;
+            self.unit_micros = (self.unit_micros * (samples - 1) + measured) / samples;
         }
         self.grant(now_ms)
     }
@@ -185,6 +192,12 @@
         outcomes
     }
 
+    /// The time for one unit of work of late, in microseconds; `None` before enough was
+    /// measured.
+    pub fn pace(&self) -> Option<u64> {
+        (self.measured >= LEAST_MEASURED).then_some(self.unit_micros)
+    }
+
     /// How many hold a place, and how many wait.
     pub fn load(&self) -> (usize, usize) {
         (self.holding.len(), self.waiting.len())
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -31,6 +31,8 @@
         /// The leader's directory of targets, and how many gateways there are, for whoever
         /// leads next.
         Directory { targets: Vec<TargetAnnouncement>, gateways: u64 },
+        /// What a target said of itself to an instance that knows no leader.
+        Heard(TargetAnnouncement),
         /// A message of the replicated log.
         Core { from: ReplicaId, to: ReplicaId, message: Message },
     }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -307,8 +307,8 @@
                         Ok(())
                     }
                     Err(error) => {
-                        if state.core.leader().is_none() {
-                            state.known_changed |= state.known.hear(announcement);
+                        if state.hear_target(announcement.clone()) {
+                            state.peers.broadcast(&PeerMessage::Heard(announcement));
                         }
                         Err(error)
                     }
@@ -510,6 +510,9 @@
                 self.known.targets = targets;
                 self.known.gateways = gateways;
             }
+            PeerMessage::Heard(announcement) => {
+                self.hear_target(announcement);
+            }
             PeerMessage::Core { from, to, message } if to == self.core.id() => {
                 self.step(Input::Receive { from, message })?;
             }
@@ -537,6 +540,13 @@
         Ok(())
     }
 
+    /// Takes what a target says of itself while there is no leader; returns whether it is news.
+    fn hear_target(&mut self, announcement: TargetAnnouncement) -> bool {
+        let is_news = self.core.leader().is_none() && self.known.hear(announcement);
+        self.known_changed |= is_news;
+        is_news
+    }
+
     /// What this replica knows, led or not.
     fn peek(&self, wanted: Wanted) -> PeekReply {
         let known = match wanted {
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -50,6 +50,8 @@
 const PEEK_PAUSE_MS: u64 = 50;
 /// The longest wait between two looks: a group that has no document yet is asked by many.
 const LONGEST_PEEK_PAUSE_MS: u64 = 1000;
+/// How long to wait between two looks at the targets while there is no leader.
+const TARGETS_PAUSE_MS: u64 = 300;
 /// How many targets that change at once are logged one by one.
 const LOGGED_TARGETS: usize = 16;
 /// How long a goodbye may take.
@@ -316,7 +318,7 @@
             match (known, wanted) {
                 (Some(known), _) => {
                     Self::begin_with(known, &keeper).await;
-                    pause_ms = LONGEST_PEEK_PAUSE_MS;
+                    pause_ms = TARGETS_PAUSE_MS;
                 }
                 (None, Wanted::All) if learnt.load(Ordering::Relaxed) => {
                     // Instances without a disk know the others, but no document after a restart.
--- a/src/gateway/keepers.rs
+++ b/src/gateway/keepers.rs
@@ -23,8 +23,9 @@
 /// How long an unused link stays open.
 const IDLE_MS: u64 = 30_000;
 
-/// What an agent said to a search, with the number under which the search asked it.
-pub type Events = mpsc::UnboundedSender<(usize, Said)>;
+/// What an agent said to a search, with the number under which the search asked it, and the
+/// target's pace; see [`FromKeeper::unit_micros`].
+pub type Events = mpsc::UnboundedSender<(usize, Said, Option<u64>)>;
 
 /// What an agent said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -185,7 +186,7 @@
                     self.connect().await;
                 }
                 let Some(open) = &self.open else {
-                    let _ = events.send((number, Said::Lost));
+                    let _ = events.send((number, Said::Lost, None));
                     return;
                 };
                 let pending = Pending {
@@ -229,7 +230,7 @@
         if let Some(pending) = self.pending.get_mut(&ticket) {
             if let Some(events) = &pending.events {
                 // A search that has ended drops its places, this one among them.
-                let _ = events.send((pending.number, said));
+                let _ = events.send((pending.number, said, message.unit_micros()));
             }
             if said == Said::Granted {
                 pending.events = None;
@@ -246,7 +247,7 @@
         }
         for (_, pending) in self.pending.drain() {
             if let Some(events) = pending.events {
-                let _ = events.send((pending.number, Said::Lost));
+                let _ = events.send((pending.number, Said::Lost, None));
             }
         }
     }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -8,6 +8,7 @@
 //! | the target's slots | how much fits at one time |
 //! | whether the prompt's prefix belongs there | computing it again costs time |
 //! | failures of late | a target that fails is left alone for a while |
+//! | the target's pace, the expected work, the time left | what would not end in time there goes to a faster one |
 //!
 //! The output is the order of the targets by the expected time to the first event.
 
@@ -35,6 +36,8 @@
         pub wait_ms: u64,
         /// How long first events of late took; `None` if not known.
         pub first_ms: Option<u64>,
+        /// The time for one unit of work there, in microseconds; `None` if not known.
+        pub unit_micros: Option<u64>,
         /// Whether it is in the gateway's failure domain.
         pub is_near: bool,
         /// Whether it is still slow after its start.
@@ -55,6 +58,15 @@
         pub is_closed: bool,
     }
 
+    /// How long the request runs, as this decision sees it.
+    #[derive(Copy, Default)]
+    pub struct Run {
+        /// How much work it is; see [`crate::grants::work_units`].
+        pub work_units: u64,
+        /// How long its caller still waits for the whole answer.
+        pub left_ms: u64,
+    }
+
     /// The prompt as this decision sees it.
     #[derive(Copy, Default)]
     pub struct Prefix {
@@ -82,7 +94,7 @@
 
 /// The positions of the targets, best first. `seed` breaks ties, so that gateways that know
 /// the same do not all choose the same.
-pub fn order(candidates: &[Candidate], prefix: Prefix, seed: u64) -> Vec<usize> {
+pub fn order(candidates: &[Candidate], prefix: Prefix, run: Run, seed: u64) -> Vec<usize> {
     let holder = prefix.id.and_then(|id| {
         let by_hash = |candidate: &&Candidate| hash((id, &candidate.name));
         let holder = candidates.iter().max_by_key(by_hash)?;
@@ -97,7 +109,7 @@
             0
         };
         (
-            expected_micros(candidate) * (100 - saved) / 100,
+            expected_micros(candidate) * (100 - saved) / 100 + over_micros(candidate, run),
             hash((seed, position)),
         )
     };
@@ -123,6 +135,13 @@
     run_micros + candidate.wait_ms * 1000 + crossing_micros
 }
 
+/// How much longer than its caller waits the request is expected to run there.
+fn over_micros(candidate: &Candidate, run: Run) -> u64 {
+    let run_micros = candidate.unit_micros.unwrap_or(0) * run.work_units;
+    let left_ms = run.left_ms.saturating_sub(candidate.wait_ms);
+    run_micros.saturating_sub(left_ms * 1000)
+}
+
 fn hash(parts: impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     parts.hash(&mut hasher);
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -4,7 +4,7 @@
 //! asked, best first; the first grant is taken and the other places are given up.
 
 use super::{
-    keepers::{Asked, Keepers, Said},
+    keepers::{Asked, Events, Keepers, Said},
     targets::Want,
 };
 use crate::{clock, control::directory::TargetEntry, grants::Ask, units::TargetName};
@@ -50,6 +50,8 @@
     pub waits: Waits,
     /// The positions of the targets that leave, as their agents said.
     pub leaving: Vec<usize>,
+    /// The paces of targets, by their positions.
+    pub paces: Vec<(usize, u64)>,
 }
 
 impl<'a> Search<'a> {
@@ -71,6 +73,7 @@
             shortest_ms: None,
             waits: Waits::new(),
             leaving: Vec::new(),
+            paces: Vec::new(),
         }
     }
 
@@ -95,7 +98,11 @@
                 return Found::Refused(self.shortest_ms.unwrap_or_default());
             }
             let wait = Duration::from_millis(patience_ms.min(left_ms));
-            match timeout(wait, said.recv()).await {
+            let told = timeout(wait, said.recv()).await;
+            if let Ok(Some((number, _, Some(unit_micros)))) = told {
+                self.paces.push((number, unit_micros));
+            }
+            match told.map(|told| told.map(|(number, said, _)| (number, said))) {
                 Ok(Some((number, Said::Granted))) => {
                     self.note(number, 0);
                     if let Some(asked) = self.open.remove(&number) {
@@ -135,7 +142,7 @@
     }
 
     /// Asks the next agent; `false` if all have been asked.
-    fn ask_next(&mut self, events: &mpsc::UnboundedSender<(usize, Said)>) -> bool {
+    fn ask_next(&mut self, events: &Events) -> bool {
         let Some(target) = self.targets.get(self.next) else {
             return false;
         };
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -3,7 +3,7 @@
 use super::{
     keepers::{Asked, Keepers},
     notices::{Notice, Notices},
-    placement::{self, Candidate, Prefix, Standing},
+    placement::{self, Candidate, Prefix, Run, Standing},
     search::{Found, Search},
     turnout::Turnout,
     waiting_line::{Ticket, Waiting, WaitingLine},
@@ -103,6 +103,8 @@
     failed_per_mille: u64,
     /// How long a request would have waited there, and when that was said.
     wait: Option<(u64, u64)>,
+    /// The time for one unit of work there, as its agent told.
+    unit_micros: Option<u64>,
 }
 
 #[derive(Default)]
@@ -216,12 +218,17 @@
             let found = search.run().await;
             let waits = std::mem::take(&mut search.waits);
             let leaving = std::mem::take(&mut search.leaving);
+            let paces = std::mem::take(&mut search.paces);
             drop(search);
             let now_ms = clock::boot_ms();
             let mut state = self.state();
             for (name, wait_ms) in waits {
                 state.known.entry(name).or_default().wait = Some((wait_ms, now_ms));
             }
+            for (position, unit_micros) in paces {
+                let name = targets[position].name.clone();
+                state.known.entry(name).or_default().unit_micros = Some(unit_micros);
+            }
             for position in leaving {
                 state.notices.leaves(&targets[position], now_ms);
             }
@@ -422,7 +429,11 @@
             .iter()
             .map(|target| self.candidate(state, target, now_ms))
             .collect();
-        let order = placement::order(&candidates, want.prefix, want.fingerprint ^ now_ms);
+        let run = Run {
+            work_units: want.work_units,
+            left_ms: want.waiting.deadline_at_ms.saturating_sub(now_ms),
+        };
+        let order = placement::order(&candidates, want.prefix, run, want.fingerprint ^ now_ms);
         let order = order.into_iter();
         order.map(|position| usable[position].clone()).collect()
     }
@@ -467,6 +478,7 @@
                 .filter(|(_, at_ms)| now_ms < at_ms + WAIT_BELIEVED_MS)
                 .map_or(0, |(wait_ms, _)| wait_ms),
             first_ms: measured.and_then(|known| known.first_ms),
+            unit_micros: known.and_then(|known| known.unit_micros),
             is_near: target.failure_domain == self.failure_domain,
             warming_up: target.warming_up,
         }
--- a/src/gateway/turnout.rs
+++ b/src/gateway/turnout.rs
@@ -15,8 +15,9 @@
 /// lengths are spread as those of answers are.
 const LONG_MEANS: u64 = 2;
 /// Long work is behind when less than this part of it got a place, against other work of its
-/// route, in percent: the users' bound for the largest requests is half.
-const LEAST_LONG_PERCENT: u64 = 50;
+/// route, in percent. The users' bound for the largest requests that are served is half; some
+/// that got a place run into their deadline.
+const LEAST_LONG_PERCENT: u64 = 75;
 /// The part of a request's work in the mean: one of so many.
 const MEAN_SAMPLES: u64 = 64;
 /// After how many requests the counts of a route are halved, so that they tell of late.
--- a/src/grants.rs
+++ b/src/grants.rs
@@ -62,6 +62,8 @@
         Granted {
             /// See [`Ask::ticket`].
             ticket: TicketNumber,
+            /// See [`FromKeeper::unit_micros`].
+            unit_micros: Option<u64>,
         },
         /// It waits, and likely for how long.
         Queued {
@@ -69,6 +71,8 @@
             ticket: TicketNumber,
             /// How long.
             wait_ms: u64,
+            /// See [`FromKeeper::unit_micros`].
+            unit_micros: Option<u64>,
         },
         /// It has no place here, and would have to wait so long.
         Refused {
@@ -95,10 +99,19 @@
 }
 
 impl FromKeeper {
+    /// The target's pace, as far as the message tells it: the time for one unit of work, in
+    /// microseconds.
+    pub fn unit_micros(&self) -> Option<u64> {
+        match self {
+            Self::Granted { unit_micros, .. } | Self::Queued { unit_micros, .. } => *unit_micros,
+            Self::Refused { .. } | Self::Leaves { .. } => None,
+        }
+    }
+
     /// The request that it is about.
     pub fn ticket(&self) -> TicketNumber {
         match self {
-            Self::Granted { ticket }
+            Self::Granted { ticket, .. }
             | Self::Queued { ticket, .. }
             | Self::Refused { ticket, .. }
             | Self::Leaves { ticket } => *ticket,
--- a/tests/gateway_rules.rs
+++ b/tests/gateway_rules.rs
@@ -2,7 +2,7 @@
 
 use guavacove::gateway::{
     events::Events,
-    placement::{Candidate, Prefix, Standing, order, usable},
+    placement::{Candidate, Prefix, Run, Standing, order, usable},
     repeats::{RepeatBounds, Repeats},
 };
 use quickcheck::{Gen, QuickCheck};
@@ -78,6 +78,7 @@
         slots: 4,
         wait_ms: 0,
         first_ms,
+        unit_micros: None,
         is_near: true,
         warming_up: false,
     }
@@ -89,9 +90,15 @@
         candidate("slow", 0, Some(900)),
         candidate("fast", 0, Some(100)),
     ];
-    assert_eq!(order(&candidates, Prefix::default(), 1), [1, 0]);
+    assert_eq!(
+        order(&candidates, Prefix::default(), Run::default(), 1),
+        [1, 0]
+    );
     candidates[1].wait_ms = 1500;
-    assert_eq!(order(&candidates, Prefix::default(), 1), [0, 1]);
+    assert_eq!(
+        order(&candidates, Prefix::default(), Run::default(), 1),
+        [0, 1]
+    );
 }
 
 #[test]
@@ -103,14 +110,14 @@
         id: Some(42),
         percent: 90,
     };
-    let holder = order(&candidates, prefix, 1)[0];
+    let holder = order(&candidates, prefix, Run::default(), 1)[0];
     assert_eq!(
-        order(&candidates, prefix, 2)[0],
+        order(&candidates, prefix, Run::default(), 2)[0],
         holder,
         "gateways agree on the holder"
     );
     candidates[holder].wait_ms = 300;
-    assert_ne!(order(&candidates, prefix, 1)[0], holder);
+    assert_ne!(order(&candidates, prefix, Run::default(), 1)[0], holder);
 }
 
 #[test]
@@ -119,7 +126,7 @@
         .map(|number| candidate(&format!("engine-{number}"), 0, None))
         .collect();
     let first: std::collections::BTreeSet<usize> = (0..50)
-        .map(|seed| order(&candidates, Prefix::default(), seed)[0])
+        .map(|seed| order(&candidates, Prefix::default(), Run::default(), seed)[0])
         .collect();
     assert!(first.len() > 3, "{first:?}");
 }
@@ -167,3 +174,32 @@
     assert_eq!(usable(&[rests, tried, rests]), [0, 2]);
     assert_eq!(usable(&[tried]), [0usize; 0]);
 }
+
+/// Engines of two speeds under long and short streams: what would run into its deadline on a
+/// slow one goes to a fast one, short work goes by the wait alone.
+#[test]
+fn long_work_goes_to_targets_that_end_it_in_time() {
+    let mut slow = candidate("slow", 0, Some(50));
+    let mut fast = candidate("fast", 0, Some(200));
+    (slow.unit_micros, fast.unit_micros) = (Some(12_500), Some(4500));
+    let candidates = [slow, fast];
+    let run = |work_units| Run {
+        work_units,
+        left_ms: 15_000,
+    };
+    let first = |run| order(&candidates, Prefix::default(), run, 1)[0];
+    assert_eq!(first(run(1300)), 1, "16 s there, 6 s here");
+    assert_eq!(first(run(100)), 0);
+    let late = [
+        candidates[0].clone(),
+        Candidate {
+            wait_ms: 14_000,
+            ..candidates[1].clone()
+        },
+    ];
+    assert_eq!(
+        order(&late, Prefix::default(), run(1300), 1)[0],
+        0,
+        "both are late, it less so"
+    );
+}
