--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -1,5 +1,7 @@
 //! The actor that drives one replica: it syncs, sends, applies and answers.
 
+mod founding;
+mod known;
 mod leader;
 
 use super::{
@@ -224,7 +226,7 @@
         let control = decode_state(&log.snapshot.state)?;
         let last_index = log.last_index();
         tracing::info!("control: replica {id} starts at entry {last_index}");
-        let may_found = may_found(&storage, &identity) && last_index == LogIndex(0);
+        let may_found = founding::may_found(&storage, &identity) && last_index == LogIndex(0);
         let storage_note = storage.read_note(KNOWN_NOTE);
         let known = storage.read_note(INSTANCES_NOTE).unwrap_or_default();
         let roster = Roster::new(
@@ -335,23 +337,6 @@
     }
 }
 
-/// Whether this replica is one of the founders: it was told so, now or at an earlier start
-/// with this disk. Otherwise instances that restart in the middle of the founding would not
-/// count as founders, and too few would be left to found the group.
-fn may_found(storage: &Storage, identity: &Identity) -> bool {
-    let noted = storage.read_note(FOUNDER_NOTE).unwrap_or(false);
-    if noted || !identity.may_found {
-        return noted;
-    }
-    match storage.write_note(FOUNDER_NOTE, &true) {
-        Ok(()) => true,
-        Err(error) => {
-            tracing::warn!(%error, "control: cannot note that this instance is a founder, so it is none");
-            false
-        }
-    }
-}
-
 fn decode_state(bytes: &Bytes) -> Result<ControlState, ActorProcessingErr> {
     match bytes.is_empty() {
         true => Ok(ControlState::default()),
@@ -540,95 +525,6 @@
         Ok(())
     }
 
-    /// Takes what a target says of itself while there is no leader; returns whether it is news.
-    fn hear_target(&mut self, announcement: TargetAnnouncement) -> bool {
-        let is_news = self.core.leader().is_none() && self.known.hear(announcement);
-        self.known_changed |= is_news;
-        is_news
-    }
-
-    /// What this replica knows, led or not.
-    fn peek(&self, wanted: Wanted) -> PeekReply {
-        let known = match wanted {
-            Wanted::Version => Known::default(),
-            Wanted::Targets => Known {
-                document: AcceptedDocument::default(),
-                ..self.known.clone()
-            },
-            Wanted::All => self.known.clone().without_source(),
-        };
-        PeekReply {
-            version: self.known.document.version,
-            known,
-            control: self.roster.rpc_addresses(self.now_ms()),
-        }
-    }
-
-    /// Notes the document in force; it is committed.
-    fn know_document(&mut self) {
-        if self.control.document().version > self.known.document.version {
-            self.known.document = self.control.document().clone();
-            self.known_changed = true;
-        }
-    }
-
-    /// Keeps what is known on disk, on another thread as the disk may stall. Nothing depends
-    /// on it but how soon service begins after a restart.
-    fn keep_known(&mut self, now_ms: u64) {
-        if !self.known_changed || now_ms < self.known_kept_ms + KNOWN_INTERVAL_MS {
-            return;
-        }
-        self.known_changed = false;
-        self.known_kept_ms = now_ms;
-        let write = self.storage.note_writer(KNOWN_NOTE, &self.known);
-        tokio::task::spawn_blocking(move || {
-            if let Err(error) = write() {
-                tracing::debug!(%error, "control: latest document and targets not kept on disk");
-            }
-        });
-    }
-
-    /// Founds the group once all its founders are present and none belongs to one.
-    fn found(&mut self) -> Result<(), ActorProcessingErr> {
-        if !self.core.membership().is_empty() {
-            return Ok(());
-        }
-        let now_ms = self.now_ms();
-        let founding = self.roster.founding(now_ms);
-        let snapshot = |voters| {
-            let membership = Membership {
-                voters,
-                ..Membership::default()
-            };
-            Snapshot {
-                index: FOUNDING_INDEX,
-                term: Term(0),
-                membership,
-                state: Bytes::new(),
-            }
-        };
-        let found = match (&self.invited, founding) {
-            (Some(invited), _) => Some(invited.clone()),
-            (None, Founding::Found(voters)) if voters.len() == 1 => Some(voters),
-            (None, Founding::Invite(voters)) => {
-                self.invited = Some(voters.clone());
-                Some(voters)
-            }
-            (None, Founding::Found(_) | Founding::Wait) => None,
-        };
-        let Some(voters) = found else {
-            return Ok(());
-        };
-        if self.roster.most_in_group(&voters, now_ms) {
-            tracing::info!(voters = voters.len(), "control: founded the group");
-            self.step(Input::Found(snapshot(voters)))?;
-        } else {
-            let snapshot = snapshot(voters);
-            self.peers.broadcast(&PeerMessage::Found { snapshot });
-        }
-        Ok(())
-    }
-
     fn compact(&mut self) -> Result<(), ActorProcessingErr> {
         let entries = &self.core.log().entries;
         let bytes = |entry: &Entry| match &entry.payload {
