Do not wait again for a charge that was already answered

Cause: a charge that ended without an answer, as the instance does not lead or its link broke, was waited for once more when the own part had no more; that panics (tokio: called after complete), and the caller's connection closed without an answer. Ruled out: kills (the gateway of the first such request was not among those killed). Change: what has completed is not kept.

--- a/src/gateway/account_link.rs
+++ b/src/gateway/account_link.rs
@@ -34,7 +34,8 @@
 /// A charge that was asked for. If it is dropped first, what is charged is given back.
 pub struct Asked<'a> {
     link: &'a AccountLink,
-    charge: oneshot::Receiver<Charge>,
+    /// Taken once it has completed: it may not be waited for again then.
+    charge: Option<oneshot::Receiver<Charge>>,
     since_ms: u64,
 }
 
@@ -98,7 +99,7 @@
         });
         Some(Asked {
             link: self,
-            charge,
+            charge: Some(charge),
             since_ms: now_ms,
         })
     }
@@ -125,8 +126,14 @@
     async fn within(&mut self, wait_ms: u64) -> Option<Charge> {
         let until_ms = self.since_ms + wait_ms;
         let left_ms = until_ms.saturating_sub(clock::boot_ms());
-        let charge = timeout(Duration::from_millis(left_ms), &mut self.charge).await;
-        let charge = charge.ok().and_then(Result::ok);
+        let told = match &mut self.charge {
+            Some(charge) => timeout(Duration::from_millis(left_ms), charge).await.ok(),
+            None => return None,
+        };
+        if told.is_some() {
+            self.charge = None;
+        }
+        let charge = told.and_then(Result::ok);
         let silent_since_ms = &self.link.silent_since_ms;
         match charge {
             Some(_) => silent_since_ms.store(0, Ordering::Relaxed),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! The modules `placement`, `notices`, `waiting_line`, `quotas`, `repeats` and `events` decide;
 //! they read no clock and open no connection.
 
-mod account_link;
+pub mod account_link;
 mod answer;
 mod attempts;
 mod body;
