--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -13,7 +13,7 @@
     clock,
     document::Policy,
     link::{self, LinkReceiver, LinkSender},
-    units::CustomerName,
+    units::{CustomerName, DocumentVersion},
 };
 use std::{
     io,
@@ -25,7 +25,7 @@
 #[derive(Default)]
 struct State {
     accounts: Accounts,
-    policy: Arc<Policy>,
+    policy: Policy,
     reserved_ppm: u64,
     leads_until_ms: u64,
 }
@@ -55,9 +55,12 @@
         self.state().leads_until_ms = 0;
     }
 
-    /// Goes by the quotas of this document from now on.
-    pub fn follow(&self, policy: Arc<Policy>) {
+    /// Goes by the quotas of this document from now on, unless it knows a later one.
+    pub fn follow(&self, policy: Policy) {
         let mut state = self.state();
+        if policy.version <= state.policy.version {
+            return;
+        }
         state
             .accounts
             .keep(|customer| policy.quota(customer).is_some());
@@ -105,12 +108,13 @@
         }
     }
 
-    /// Charges units; `None` if this instance does not lead. Without a quota nothing is
+    /// Charges units; `None` if this instance does not lead, or knows no quotas yet. Without a quota nothing is
     /// charged.
     fn charge(&self, customer: &CustomerName, units: u64) -> Option<Charge> {
         let now_ms = clock::boot_ms();
         let mut state = self.state();
-        if now_ms >= state.leads_until_ms {
+        let knows_quotas = state.policy.version > DocumentVersion(0);
+        if now_ms >= state.leads_until_ms || !knows_quotas {
             return None;
         }
         let Some(quota) = state.policy.quota(customer) else {
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -28,7 +28,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::Arc,
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -189,7 +188,9 @@
     ledger: Ledger,
     accounts: SocketAddr,
     limits: Limits,
-    policy: Arc<Policy>,
+    policy: Policy,
+    /// The document that the accounts were told last.
+    ledger_version: DocumentVersion,
     led_term: Term,
     leader_since_ms: u64,
     settled: bool,
@@ -265,7 +266,8 @@
             ledger: ledger.0,
             accounts: ledger.1,
             limits: Limits::default(),
-            policy: Arc::default(),
+            policy: Policy::default(),
+            ledger_version: DocumentVersion(0),
             led_term: Term(0),
             leader_since_ms: 0,
             settled: false,
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -28,7 +28,7 @@
             self.fail_waiting();
             return Ok(());
         }
-        self.follow_document();
+        self.tell_ledger();
         let lease_until_ms = self.started_ms + self.core.lease_until_ms(now_ms) - 1;
         let reserved_ppm = self.demands.reserved_ppm(now_ms);
         self.ledger.lead(lease_until_ms, reserved_ppm);
@@ -187,21 +187,35 @@
         grants.collect()
     }
 
+    /// Has the accounts go by the document in force. It is compiled on another thread: for a
+    /// long one that takes so long that the lease would run out meanwhile.
+    fn tell_ledger(&mut self) {
+        let document = self.control.document();
+        if self.ledger_version == document.version {
+            return;
+        }
+        self.ledger_version = document.version;
+        let (version, yaml) = (document.version, document.yaml.clone());
+        let ledger = self.ledger.clone();
+        tokio::task::spawn_blocking(move || match Policy::compile(version, &yaml) {
+            Ok(policy) => ledger.follow(policy),
+            // The quotas before it stay in force.
+            Err(faults) => {
+                tracing::error!(%version, %faults, "control: document not usable for quotas");
+            }
+        });
+    }
+
     fn follow_document(&mut self) {
         let document = self.control.document();
         if self.policy.version != document.version {
             match Policy::compile(document.version, &document.yaml) {
-                Ok(policy) => {
-                    self.policy = Arc::new(policy);
-                    self.ledger.follow(Arc::clone(&self.policy));
-                }
+                Ok(policy) => self.policy = policy,
                 // Documents are checked before they are accepted, but perhaps by an older
                 // program. The contracts before it stay in force.
                 Err(faults) => {
                     tracing::error!(version = %document.version, %faults, "control: document not usable");
-                    let mut before = Policy::clone(&self.policy);
-                    before.version = document.version;
-                    self.policy = Arc::new(before);
+                    self.policy.version = document.version;
                 }
             }
         }
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -3,7 +3,9 @@
 use guavacove::{
     clock,
     control::{accounts::Charge, ledger::Ledger},
+    document::Policy,
     gateway::account_link::AccountLink,
+    units::DocumentVersion,
 };
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -18,6 +20,11 @@
     ledger.begin(0);
     ledger.lead(clock::boot_ms() + 10_000, 0);
     let link = AccountLink::spawn();
+    let mut early = link.ask(address, &"one".into(), 100).unwrap();
+    assert_eq!(early.soon().await, None, "it knows no quotas yet");
+    let mut policy = Policy::default();
+    policy.version = DocumentVersion(1);
+    ledger.follow(policy);
     let mut asked = link.ask(address, &"one".into(), 100).unwrap();
     // Without a quota in the document there is no bound.
     assert_eq!(asked.soon().await, Some(Charge::Charged { is_ample: true }));
