Name the key of a setting that is out of range

Ruled out: the messages' bounds and values, which were there. Change: settings are read with the path to what fails (serde_path_to_error); the tests read files as a process does.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -293,8 +293,12 @@
             path: path.into(),
             error,
         })?;
-        let settings: Self = serde_norway::from_str(&text).map_err(|error| {
-            let line = error.location().map_or(1, |location| location.line());
+        let reader = serde_norway::Deserializer::from_str(&text);
+        let settings: Self = serde_path_to_error::deserialize(reader).map_err(|error| {
+            let line = error
+                .inner()
+                .location()
+                .map_or(1, |location| location.line());
             SettingsError::Invalid {
                 path: path.into(),
                 line,
--- a/tests/settings_numbers.rs
+++ b/tests/settings_numbers.rs
@@ -1,18 +1,26 @@
 //! Numbers in settings that a template fills in: whole, with a fraction, absurd.
 
-use guavacove::settings::{ControlSettings, GatewaySettings};
+use guavacove::settings::{ControlSettings, GatewaySettings, Settings};
 
 const GATEWAY: &str = "name: g\nfailure_domain: a\nlisten: \"127.0.0.1:1\"\nreadiness: \
                        \"127.0.0.1:2\"\ncontrol: [\"127.0.0.1:3\"]\n";
 const CONTROL: &str = "failure_domain: a\ndata_folder: x\ndiscovery:\n  api: \"127.0.0.1:1\"\n  \
                        peer_port: 2\n  rpc_port: 3\n  seeds: [\"127.0.0.1:1\"]\n";
 
+/// Reads settings as a process does.
+fn read<S: Settings>(text: &str) -> Result<S, String> {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.yaml");
+    std::fs::write(&path, text).unwrap();
+    S::read(&path).map_err(|error| error.to_string())
+}
+
 fn gateway(lines: &str) -> Result<GatewaySettings, String> {
-    serde_norway::from_str(&format!("{GATEWAY}{lines}")).map_err(|error| error.to_string())
+    read(&format!("{GATEWAY}{lines}"))
 }
 
 fn control(lines: &str) -> Result<ControlSettings, String> {
-    serde_norway::from_str(&format!("{CONTROL}{lines}")).map_err(|error| error.to_string())
+    read(&format!("{CONTROL}{lines}"))
 }
 
 macro_rules! numbers {
