Log and count the limits that targets state on their requests a second

The adapter decodes the header into StatedLimit; a pure module keeps the limit known of each run of a target, in the order in which requests were sent. Gateways log each change with its source and age, and count requests to targets whose limit they know. Nothing decides by it yet.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -376,19 +376,22 @@
         let metadata = self
             .dialect
             .decode_response(response.status(), response.headers());
+        let expected_id = incoming.metadata.id.as_ref();
+        let is_mismatched = metadata
+            .id
+            .as_ref()
+            .is_some_and(|id| expected_id.is_some_and(|expected| expected != id));
         if metadata.leaves && !metadata.is_another {
             slot.record_draining(&incoming.id);
         }
+        if !metadata.is_another && !is_mismatched {
+            slot.record_limit(&incoming.id, metadata.limit, sent_ms);
+        }
         let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         let wait_ms = retry_after_ms(response.headers(), SystemTime::now());
         if let Some(wait_ms) = wait_ms.filter(|_| refused) {
             slot.record_pause(&incoming.id, wait_ms);
         }
-        let expected_id = incoming.metadata.id.as_ref();
-        let is_mismatched = metadata
-            .id
-            .as_ref()
-            .is_some_and(|id| expected_id.is_some_and(|expected| expected != id));
         match () {
             () if is_mismatched => {
                 progress.possible_runs += 1;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -1,6 +1,6 @@
 //! Header metadata of callers and targets, decoded and encoded by a [`TrafficDialect`].
 
-use crate::{derives::record, units::*};
+use crate::{derives::record, request_limit::StatedLimit, units::*};
 use hyper::{HeaderMap, StatusCode};
 
 record! {
@@ -34,18 +34,21 @@
         pub resume_after: Option<u64>,
     }
 
-    /// Metadata in the head of a target's response.
-    #[derive(Default)]
-    pub struct ResponseMetadata {
-        /// Id of the request that the response belongs to; `None` if not stated.
-        pub id: Option<String>,
-        /// Whether the target states that it did not run the request.
-        pub not_run: bool,
-        /// Whether the target states that the request was meant for another one.
-        pub is_another: bool,
-        /// Whether the target states that it accepts no new work.
-        pub leaves: bool,
-    }
+}
+
+/// Metadata in the head of a target's response.
+#[derive(Clone, Debug, Default)]
+pub struct ResponseMetadata {
+    /// Id of the request that the response belongs to; `None` if not stated.
+    pub id: Option<String>,
+    /// Whether the target states that it did not run the request.
+    pub not_run: bool,
+    /// Whether the target states that the request was meant for another one.
+    pub is_another: bool,
+    /// Whether the target states that it accepts no new work.
+    pub leaves: bool,
+    /// The rate of requests from all gateways together that the target states as its limit.
+    pub limit: StatedLimit,
 }
 
 /// Metadata that the gateway adds to a request for a target.
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -4,12 +4,17 @@
 //! |---|---|
 //! | a response that reports the target as draining | this run of the target gets no new requests |
 //! | a refusal with `Retry-After` | the target gets no new requests until then |
+//! | a stated limit on requests a second, or none after one | see [`crate::request_limit`] |
 //!
 //! A run of a target is identified by name and start time, so a restarted target counts as
 //! available. The directory may list a draining target as ready for a long time, or list it
 //! again; the target's own report takes precedence.
 
-use crate::{control::directory::TargetEntry, units::TargetName};
+use crate::{
+    control::directory::TargetEntry,
+    request_limit::{KnownLimit, RequestLimit, StatedLimit},
+    units::TargetName,
+};
 use std::collections::HashMap;
 
 /// Time that a report is kept after the target was last listed: a rebuilt directory may list a
@@ -30,6 +35,7 @@
 struct Report {
     is_draining: bool,
     paused_until_ms: u64,
+    limit: KnownLimit,
     listed_ms: u64,
 }
 
@@ -53,6 +59,29 @@
         report.paused_until_ms = report.paused_until_ms.max(now_ms + for_ms);
     }
 
+    /// Records the limit that the answer to a request sent at `sent_ms` states; returns whether
+    /// the target's limit has changed.
+    pub fn record_limit(
+        &mut self,
+        target: &TargetEntry,
+        stated: StatedLimit,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let has_limit = matches!(stated, StatedLimit::Limited(_));
+        if !has_limit && !self.0.contains_key(&key(target)) {
+            return false;
+        }
+        let report = self.report(target, now_ms);
+        report.limit.observe(stated, sent_ms, now_ms)
+    }
+
+    /// Returns the limit of a target.
+    pub fn limit(&self, target: &TargetEntry) -> RequestLimit {
+        let report = self.0.get(&key(target));
+        report.map_or_else(RequestLimit::default, |report| report.limit.limit())
+    }
+
     /// Returns the availability of a target.
     pub fn get(&self, target: &TargetEntry, now_ms: u64) -> Availability {
         if self.0.is_empty() {
@@ -81,6 +110,7 @@
         self.0.entry(key(target)).or_insert(Report {
             is_draining: false,
             paused_until_ms: 0,
+            limit: KnownLimit::default(),
             listed_ms: now_ms,
         })
     }
--- a/src/gateway/targets/feedback.rs
+++ b/src/gateway/targets/feedback.rs
@@ -1,6 +1,29 @@
 //! Records the result of an attempt: latency, failures and reported availability of its target.
 
 use super::*;
+use crate::request_limit::{RequestLimit, StatedLimit};
+
+/// Logs a change of a target's limit. `source` is what the limit is known from, and `age_ms` how
+/// long ago the request was sent whose answer stated it.
+pub(super) fn log_limit(
+    target: &TargetEntry,
+    before: RequestLimit,
+    after: RequestLimit,
+    source: &str,
+    age_ms: u64,
+) {
+    let per_s = |limit: RequestLimit| limit.rate.map_or("none".into(), |rate| rate.to_string());
+    tracing::info!(
+        target = %target.name, started_unix_ms = target.started_unix_ms, before_per_s = per_s(before),
+        limit_per_s = per_s(after), version = after.version, source, age_ms,
+        "gateway: limit of target changed"
+    );
+    metrics::gateway_limit_changed(match (before.rate, after.rate) {
+        (None, _) => "stated",
+        (_, None) => "lifted",
+        _ => "changed",
+    });
+}
 
 impl SlotGuard {
     /// Records the time to the first event or response.
@@ -112,6 +135,33 @@
         );
     }
 
+    /// Records the limit that the answer to a request sent at `sent_ms` states.
+    pub fn record_limit(&self, request: &str, stated: StatedLimit, sent_ms: u64) {
+        let (target, now_ms) = (&self.target, clock::boot_ms());
+        if stated == StatedLimit::Unreadable {
+            tracing::warn!(request, target = %target.name, "gateway: the limit that the target states is not a number");
+        }
+        let mut state = self.targets.state();
+        let before = state.availability.limit(target);
+        if before.rate.is_some() {
+            metrics::gateway_limited_request(&self.service);
+        }
+        if state
+            .availability
+            .record_limit(target, stated, sent_ms, now_ms)
+        {
+            let after = state.availability.limit(target);
+            let age_ms = now_ms.saturating_sub(sent_ms);
+            log_limit(
+                target,
+                before,
+                after,
+                &format!("answer to {request}"),
+                age_ms,
+            );
+        }
+    }
+
     /// Backs off briefly from a target that reported that it is full.
     pub fn record_full(&self) {
         let mut state = self.targets.state();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod http_server;
 pub mod link;
 pub mod metrics;
+pub mod request_limit;
 pub mod rounding;
 pub mod settings;
 pub mod signals;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -153,6 +153,16 @@
     "guavacove.gateway.repeats",
     "Sends after the first of a request, by service and kind"
 );
+counter!(
+    GATEWAY_LIMIT_CHANGES,
+    "guavacove.gateway.limit_changes",
+    "Changes of limits that targets state on their requests a second, by change"
+);
+counter!(
+    GATEWAY_LIMITED_REQUESTS,
+    "guavacove.gateway.limited_requests",
+    "Requests sent to targets whose limit was known, by service"
+);
 counter!(
     LOG_LINES_DROPPED,
     "guavacove.log.left_out",
@@ -254,6 +264,16 @@
     GATEWAY_REPEATS.add(1, &[service, KeyValue::new("kind", kind)]);
 }
 
+/// Counts a change of a target's limit; `change` is `stated`, `changed` or `lifted`.
+pub fn gateway_limit_changed(change: &'static str) {
+    GATEWAY_LIMIT_CHANGES.add(1, &[KeyValue::new("change", change)]);
+}
+
+/// Counts a request that was sent to a target whose limit was known.
+pub fn gateway_limited_request(service: &ServiceName) {
+    GATEWAY_LIMITED_REQUESTS.add(1, &[KeyValue::new("service", service.0.clone())]);
+}
+
 /// Counts dropped log lines.
 pub fn log_lines_dropped(lines: u64) {
     LOG_LINES_DROPPED.add(lines, &[]);
