Keep to the limit of a target at its agent, for all gateways together

Cause: the limit is on the sum of all gateways, and nothing that decides knew of it. Agents granted each free slot, and gateways sent there.

Change: a gateway tells the agent what its target states, at once and with each request for a slot, so that an agent that has restarted learns it before it grants anything to a gateway that knows. The agent spaces its grants by RequestPace, which starts with nothing and accumulates one request. A grant for which nothing was sent is allowed again. Expected waits count the limit; a refusal by the limit is told apart from one by a full queue, as it says nothing of other targets. Without an agent a limited target gets nothing.

Targets without an agent are still open.

--- a/src/agent/admission_agent.rs
+++ b/src/agent/admission_agent.rs
@@ -9,6 +9,7 @@
     accept, clock,
     grants::{FromAdmissionAgent, TicketNumber, ToAdmissionAgent},
     link::{self, KeepaliveGuard, LinkReceiver, LinkSender},
+    request_limit::{RequestLimit, RequestRate},
     settings::AdmissionSettings,
 };
 use std::{
@@ -145,18 +146,33 @@
             ToAdmissionAgent::Ask(request) => {
                 if request.started_unix_ms > self.started_unix_ms {
                     self.started_unix_ms = request.started_unix_ms;
+                    self.slots.clear_limit();
                     tracing::info!(
                         started_unix_ms = request.started_unix_ms,
                         slots = request.slots,
                         "agent: target started"
                     );
                 }
+                self.merge_limit(request.started_unix_ms, request.limit, now_ms);
                 let key = (link, request.ticket.0);
                 if let Some(sender) = self.links.get(&link) {
                     self.keepalives.insert(key, sender.keep_alive());
                 }
                 self.slots.request_slot(key, &request, now_ms)
             }
+            ToAdmissionAgent::Limit {
+                started_unix_ms,
+                limit,
+            } => {
+                self.merge_limit(started_unix_ms, limit, now_ms);
+                // A limit that was raised or lifted may allow queued requests.
+                self.slots.tick(now_ms)
+            }
+            ToAdmissionAgent::Unused { ticket } => {
+                let key = (link, ticket.0);
+                self.keepalives.remove(&key);
+                self.slots.release_unused(key, now_ms)
+            }
             ToAdmissionAgent::FirstEvent { ticket } => {
                 self.slots.record_first_event((link, ticket.0), now_ms)
             }
@@ -169,6 +185,25 @@
         self.send_replies(replies);
     }
 
+    /// Takes over the limit of a run of the target, unless a later run is known.
+    fn merge_limit(&mut self, started_unix_ms: u64, limit: RequestLimit, now_ms: u64) {
+        let before = self.slots.limit();
+        if started_unix_ms == self.started_unix_ms && self.slots.set_limit(limit, now_ms) {
+            let per_s = |limit: RequestLimit| {
+                limit
+                    .rate
+                    .map_or("none".into(), |rate: RequestRate| rate.to_string())
+            };
+            tracing::info!(
+                started_unix_ms,
+                before_per_s = per_s(before),
+                limit_per_s = per_s(limit),
+                version = limit.version,
+                "agent: limit of target changed"
+            );
+        }
+    }
+
     fn is_draining(&self, started_unix_ms: u64) -> bool {
         self.draining_started_unix_ms
             .is_some_and(|draining_started_unix_ms| started_unix_ms <= draining_started_unix_ms)
@@ -197,6 +232,11 @@
                     let ticket = TicketNumber(key.1);
                     (key, FromAdmissionAgent::Refused { ticket, wait_ms })
                 }
+                Reply::Limited(key, wait_ms) => {
+                    self.keepalives.remove(&key);
+                    let ticket = TicketNumber(key.1);
+                    (key, FromAdmissionAgent::Limited { ticket, wait_ms })
+                }
                 Reply::Leaves(key) => {
                     self.keepalives.remove(&key);
                     let ticket = TicketNumber(key.1);
--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -9,6 +9,7 @@
 //! | recent run times and times to first event | the target's speed, and from it the expected duration of a request |
 //! | prompts in prefill | another prompt is held back while its prefill would stall running streams for too long |
 //! | rate at which requests leave the queue | expected waits: a request queues at several agents, so most leave without being served here |
+//! | limit that the target states | no more grants than it allows; see [`RequestPace`] |
 //! | deadlines | a request that cannot be answered in time is refused immediately |
 //!
 //! Outputs: grants, expected waits, and refusals with the wait that was expected.
@@ -19,6 +20,8 @@
         request_queue::{PriorityClass, QueuedRequest, RequestQueue, Ticket},
     },
     grants::SlotRequest,
+    request_limit::{KnownLimit, RequestLimit},
+    request_pace::RequestPace,
     target_pace::{SpeedMeter, TargetSpeed},
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -62,6 +65,9 @@
     /// The request is refused, as the expected wait is too long; carries that wait in
     /// milliseconds.
     Refused(RequestKey, u64),
+    /// The request is refused, as the target's limit allows it too late; carries the wait in
+    /// milliseconds.
+    Limited(RequestKey, u64),
     /// The target is draining and accepts no new requests.
     Leaves(RequestKey),
 }
@@ -101,6 +107,8 @@
     departures_since_ms: u64,
     departures_milli_per_s: u64,
     recent_refusals: VecDeque<u64>,
+    limit: KnownLimit,
+    pace: RequestPace,
     /// Classes of which requests are queued and none has been granted a slot. Here the class
     /// `(precedence, false)` holds all requests of the precedence, and `(precedence, true)` those
     /// of them that are past their objective. An entry starts when a request of the class is
@@ -122,6 +130,8 @@
             departures_since_ms: 0,
             departures_milli_per_s: 0,
             recent_refusals: VecDeque::new(),
+            limit: KnownLimit::default(),
+            pace: RequestPace::new(0),
             starving: BTreeMap::new(),
         }
     }
@@ -152,7 +162,7 @@
         let would_starve = self.starved_ms(&waiting, now_ms) > request.begin_left_ms;
         if would_starve || waiting.misses_deadline(now_ms + wait_ms) {
             self.record_refusal(request.fingerprint);
-            return vec![Reply::Refused(key, wait_ms)];
+            return vec![self.refusal(key, wait_ms, now_ms)];
         }
         let ticket = self.queue.push(waiting);
         let entry = QueueEntry {
@@ -201,6 +211,36 @@
         self.grant(now_ms)
     }
 
+    /// Removes a request for which nothing was sent to the target from the queue, or releases its
+    /// slot.
+    pub fn release_unused(&mut self, key: RequestKey, now_ms: u64) -> Vec<Reply> {
+        if self.running.contains_key(&key) {
+            self.pace.give_back();
+        }
+        self.release(key, None, now_ms)
+    }
+
+    /// Takes over the limit that the target states, as a gateway knows it; returns whether it has
+    /// changed.
+    pub fn set_limit(&mut self, limit: RequestLimit, now_ms: u64) -> bool {
+        let was_limited = self.limit.limit().rate.is_some();
+        let is_changed = self.limit.merge(limit, now_ms);
+        if is_changed && !was_limited {
+            self.pace = RequestPace::new(now_ms);
+        }
+        is_changed
+    }
+
+    /// Drops the limit, as the target has restarted.
+    pub fn clear_limit(&mut self) {
+        self.limit = KnownLimit::default();
+    }
+
+    /// Limit that the target states.
+    pub fn limit(&self) -> RequestLimit {
+        self.limit.limit()
+    }
+
     /// Releases all requests of a closed link.
     pub fn close_link(&mut self, link: u64, now_ms: u64) -> Vec<Reply> {
         let keys = self.tickets.keys().chain(self.running.keys());
@@ -239,10 +279,11 @@
             self.tickets.remove(&entry.key);
             self.queue.remove(ticket);
             self.record_refusal(entry.fingerprint);
-            replies.push(Reply::Refused(
-                entry.key,
-                self.queue_wait_ms(self.waiting.len()),
-            ));
+            let ahead = self.waiting.len();
+            let wait_ms = self
+                .queue_wait_ms(ahead)
+                .max(self.limit_wait_ms(ahead, now_ms));
+            replies.push(self.refusal(entry.key, wait_ms, now_ms));
         }
         replies.extend(self.grant(now_ms));
         replies
@@ -268,6 +309,11 @@
             if next.is_some_and(|entry| !self.may_prefill(&entry, now_ms)) {
                 break;
             }
+            if let Some(rate) = self.limit.limit().rate
+                && self.pace.take(rate, now_ms).is_err()
+            {
+                break;
+            }
             self.queue.remove(ticket);
             if let Some((entry, waiting)) = self.waiting.remove(&ticket) {
                 self.tickets.remove(&entry.key);
@@ -345,11 +391,29 @@
 
     /// Expected wait of a request behind those that are served before it.
     fn expected_wait_ms(&self, waiting: &QueuedRequest, now_ms: u64) -> u64 {
-        match (self.running.len() as u64) < self.capacity {
+        let count = self.queue.count_ahead_of(waiting, now_ms) + 1;
+        let slot_wait_ms = match (self.running.len() as u64) < self.capacity {
             true => 0,
             false => self
-                .queue_wait_ms(self.queue.count_ahead_of(waiting, now_ms) + 1)
+                .queue_wait_ms(count)
                 .max(self.starved_ms(waiting, now_ms)),
+        };
+        slot_wait_ms.max(self.limit_wait_ms(count, now_ms))
+    }
+
+    /// Time until the target's limit allows `count` more requests; 0 without a limit.
+    fn limit_wait_ms(&self, count: usize, now_ms: u64) -> u64 {
+        let rate = self.limit.limit().rate;
+        rate.map_or(0, |rate| self.pace.wait_ms(rate, count as u64, now_ms))
+    }
+
+    /// The reply that refuses a request with this expected wait. While a slot is free, only the
+    /// target's limit can have been in the way.
+    fn refusal(&self, key: RequestKey, wait_ms: u64, now_ms: u64) -> Reply {
+        let has_free_slot = (self.running.len() as u64) < self.capacity;
+        match has_free_slot && self.limit_wait_ms(1, now_ms) > 0 {
+            true => Reply::Limited(key, wait_ms),
+            false => Reply::Refused(key, wait_ms),
         }
     }
 
--- a/src/gateway/admission_links.rs
+++ b/src/gateway/admission_links.rs
@@ -6,6 +6,7 @@
 use crate::{
     grants::{FromAdmissionAgent, SlotRequest, TicketNumber, ToAdmissionAgent},
     link::{self, KeepaliveGuard, LinkReceiver, LinkSender},
+    request_limit::RequestLimit,
     target_pace::TargetSpeed,
 };
 use std::{
@@ -37,6 +38,9 @@
     Queued(u64),
     /// The request is refused, with the wait in milliseconds that it would have had.
     Refused(u64),
+    /// The request is refused by the target's limit, with the wait in milliseconds that it would
+    /// have had.
+    Limited(u64),
     /// The target accepts no new work.
     Draining,
     /// The agent is unreachable.
@@ -59,12 +63,21 @@
     Draining {
         started_unix_ms: u64,
     },
+    Limit {
+        started_unix_ms: u64,
+        limit: RequestLimit,
+    },
+    Unused {
+        ticket: TicketNumber,
+    },
 }
 
 /// A requested or granted slot, released on drop.
 pub struct PendingSlotRequest {
     commands: mpsc::UnboundedSender<Command>,
     ticket: TicketNumber,
+    /// Whether the slot is used: a request is sent to the target.
+    pub is_used: bool,
     /// Run time of the request, if its response was complete.
     pub ran_ms: Option<u64>,
 }
@@ -77,6 +90,15 @@
         let _ = self.commands.send(Command::FirstEvent { ticket });
     }
 
+    /// Reports the limit of this run of its target to the agent.
+    pub fn report_limit(&self, started_unix_ms: u64, limit: RequestLimit) {
+        // Sending cannot fail: the task runs as long as a sender exists.
+        let _ = self.commands.send(Command::Limit {
+            started_unix_ms,
+            limit,
+        });
+    }
+
     /// Reports to the agent that this run of its target is draining.
     pub fn report_draining(&self, started_unix_ms: u64) {
         // Sending cannot fail: the task runs as long as a sender exists.
@@ -86,10 +108,11 @@
 
 impl Drop for PendingSlotRequest {
     fn drop(&mut self) {
+        let (ticket, ran_ms) = (self.ticket, self.ran_ms);
         // Sending cannot fail: the task runs as long as a sender exists.
-        let _ = self.commands.send(Command::Release {
-            ticket: self.ticket,
-            ran_ms: self.ran_ms,
+        let _ = self.commands.send(match self.is_used {
+            true => Command::Release { ticket, ran_ms },
+            false => Command::Unused { ticket },
         });
     }
 }
@@ -130,6 +153,7 @@
         PendingSlotRequest {
             commands,
             ticket,
+            is_used: false,
             ran_ms: None,
         }
     }
@@ -224,6 +248,20 @@
             Command::Draining { started_unix_ms } => {
                 self.send(ToAdmissionAgent::Draining { started_unix_ms });
             }
+            Command::Limit {
+                started_unix_ms,
+                limit,
+            } => {
+                self.send(ToAdmissionAgent::Limit {
+                    started_unix_ms,
+                    limit,
+                });
+            }
+            Command::Unused { ticket } => {
+                if self.pending.remove(&ticket).is_some() {
+                    self.send(ToAdmissionAgent::Unused { ticket });
+                }
+            }
             Command::FirstEvent { ticket } if self.pending.contains_key(&ticket) => {
                 self.send(ToAdmissionAgent::FirstEvent { ticket });
             }
@@ -250,6 +288,7 @@
             FromAdmissionAgent::Queued { wait_ms, .. } => AgentReply::Queued(*wait_ms),
             FromAdmissionAgent::Refused { wait_ms, .. } => AgentReply::Refused(*wait_ms),
             FromAdmissionAgent::Draining { .. } => AgentReply::Draining,
+            FromAdmissionAgent::Limited { wait_ms, .. } => AgentReply::Limited(*wait_ms),
         };
         let ticket = message.ticket();
         if let Some(pending) = self.pending.get_mut(&ticket) {
@@ -261,7 +300,10 @@
                 pending.replies = None;
             }
         }
-        if matches!(reply, AgentReply::Refused(_) | AgentReply::Draining) {
+        if matches!(
+            reply,
+            AgentReply::Refused(_) | AgentReply::Limited(_) | AgentReply::Draining
+        ) {
             self.pending.remove(&ticket);
         }
     }
--- a/src/gateway/search.rs
+++ b/src/gateway/search.rs
@@ -10,8 +10,8 @@
     targets::SlotQuery,
 };
 use crate::{
-    clock, control::directory::TargetEntry, grants::SlotRequest, target_pace::TargetSpeed,
-    units::TargetName,
+    clock, control::directory::TargetEntry, grants::SlotRequest, metrics,
+    request_limit::RequestLimit, target_pace::TargetSpeed, units::TargetName,
 };
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::{sync::mpsc, time::timeout};
@@ -47,6 +47,8 @@
     admission_links: &'a AdmissionLinks,
     query: &'a SlotQuery<'a>,
     targets: &'a [TargetEntry],
+    /// Limits of the targets, as this gateway knows them.
+    limits: &'a [RequestLimit],
     /// Number of suitable targets, which come first.
     suitable: usize,
     port: u16,
@@ -68,6 +70,7 @@
         admission_links: &'a AdmissionLinks,
         query: &'a SlotQuery<'a>,
         targets: &'a [TargetEntry],
+        limits: &'a [RequestLimit],
         suitable: usize,
         port: u16,
     ) -> Self {
@@ -75,6 +78,7 @@
             admission_links,
             query,
             targets,
+            limits,
             suitable,
             port,
             next: 0,
@@ -133,6 +137,18 @@
                     self.shortest_wait_ms = Some(shortest_wait_ms.min(wait_ms));
                     self.pending.remove(&position);
                 }
+                // Tells nothing about the queues of the other targets.
+                Ok(Some((position, AgentReply::Limited(wait_ms)))) => {
+                    metrics::gateway_held_back(self.query.service);
+                    tracing::debug!(
+                        request = self.query.request, target = %self.targets[position].name, wait_ms,
+                        "gateway: target is at its limit"
+                    );
+                    self.record_wait(position, wait_ms.max(1));
+                    let shortest_wait_ms = self.shortest_wait_ms.unwrap_or(u64::MAX);
+                    self.shortest_wait_ms = Some(shortest_wait_ms.min(wait_ms));
+                    self.pending.remove(&position);
+                }
                 Ok(Some((position, AgentReply::Draining))) => {
                     self.draining.push(position);
                     self.pending.remove(&position);
@@ -201,6 +217,7 @@
             pause_ms: self.query.pause_ms,
             fingerprint: self.query.fingerprint,
             is_favoured: waiting.is_favoured,
+            limit: self.limits[self.next],
         };
         let address = SocketAddr::new(target.address.ip(), self.port);
         let slot =
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -20,6 +20,7 @@
     control_view::ControlView,
     entry::refusal::Refusal,
     metrics,
+    request_limit::RequestLimit,
     target_pace::{SpeedMeter, TargetSpeed},
     units::*,
     verdict::Reason,
@@ -245,8 +246,21 @@
             if targets.is_empty() {
                 return Err(self.no_target_refusal(&self.state(), query, now_ms));
             }
-            let mut search =
-                SlotSearch::new(&self.admission_links, query, &targets, suitable, port);
+            let limits: Vec<RequestLimit> = {
+                let state = self.state();
+                let limits = targets
+                    .iter()
+                    .map(|target| state.availability.limit(target));
+                limits.collect()
+            };
+            let mut search = SlotSearch::new(
+                &self.admission_links,
+                query,
+                &targets,
+                &limits,
+                suitable,
+                port,
+            );
             let outcome = search.run().await;
             let wait_estimates = std::mem::take(&mut search.wait_estimates);
             let draining = std::mem::take(&mut search.draining);
@@ -294,8 +308,8 @@
                     return Err(refusal.retry_after(clamp_retry_after_ms(wait_ms)));
                 }
                 // Without an agent there is no admission control: the best target is used even if
-                // it has no free slot.
-                SearchOutcome::NoAgent => return self.assign_best(&mut state, query, now_ms),
+                // it has no free slot, unless only its agent can keep to its limit.
+                SearchOutcome::NoAgent => return self.assign_unlimited(&mut state, query, now_ms),
             }
         }
     }
@@ -468,6 +482,21 @@
         }
     }
 
+    /// Like [`Self::assign_best`], but leaves out targets that state a limit.
+    fn assign_unlimited(
+        self: &Arc<Self>,
+        state: &mut State,
+        query: &SlotQuery,
+        now_ms: u64,
+    ) -> Result<SlotGuard, Refusal> {
+        let (targets, _) = self.ranked_targets(state, query, now_ms);
+        let mut targets = targets.into_iter();
+        match targets.find(|target| state.availability.limit(target).rate.is_none()) {
+            Some(target) => Ok(self.assign_slot(state, query, target, None, now_ms)),
+            None => Err(self.no_target_refusal(state, query, now_ms)),
+        }
+    }
+
     /// Returns the eligible targets, best first, and the number of suitable ones among them.
     fn ranked_targets(
         &self,
@@ -524,9 +553,12 @@
         state: &mut State,
         query: &SlotQuery,
         target: TargetEntry,
-        slot_request: Option<PendingSlotRequest>,
+        mut slot_request: Option<PendingSlotRequest>,
         now_ms: u64,
     ) -> SlotGuard {
+        if let Some(slot_request) = &mut slot_request {
+            slot_request.is_used = true;
+        }
         let stats = state.stats.entry(target.name.clone()).or_default();
         stats.in_progress += 1;
         let queue = state.queues.entry(query.service.clone()).or_default();
--- a/src/gateway/targets/feedback.rs
+++ b/src/gateway/targets/feedback.rs
@@ -1,7 +1,7 @@
 //! Records the result of an attempt: latency, failures and reported availability of its target.
 
 use super::*;
-use crate::request_limit::{RequestLimit, StatedLimit};
+use crate::request_limit::StatedLimit;
 
 /// Logs a change of a target's limit. `source` is what the limit is known from, and `age_ms` how
 /// long ago the request was sent whose answer stated it.
@@ -159,6 +159,9 @@
                 &format!("answer to {request}"),
                 age_ms,
             );
+            if let Some(slot_request) = &self.slot_request {
+                slot_request.report_limit(target.started_unix_ms, after);
+            }
         }
     }
 
--- a/src/grants.rs
+++ b/src/grants.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     derives::{quantity, record},
+    request_limit::RequestLimit,
     target_pace::TargetSpeed,
     units::*,
 };
@@ -46,6 +47,8 @@
         /// Whether the request has priority over others of its tier because long requests got
         /// less than their share of the slots.
         pub is_favoured: bool,
+        /// Limit of that run of the target, as the gateway knows it.
+        pub limit: RequestLimit,
     }
 
     /// Message from a gateway to an admission agent.
@@ -72,6 +75,18 @@
             /// Start time of that run of the target.
             started_unix_ms: u64,
         },
+        /// Reports the limit that the target states.
+        Limit {
+            /// Start time of that run of the target.
+            started_unix_ms: u64,
+            /// The limit.
+            limit: RequestLimit,
+        },
+        /// Releases a granted slot for which no request was sent, or cancels a queued request.
+        Unused {
+            /// See [`SlotRequest::ticket`].
+            ticket: TicketNumber,
+        },
     }
 
     /// Message from an admission agent to a gateway.
@@ -107,6 +122,13 @@
             /// See [`SlotRequest::ticket`].
             ticket: TicketNumber,
         },
+        /// The request is refused, because the limit that the target states allows it too late.
+        Limited {
+            /// See [`SlotRequest::ticket`].
+            ticket: TicketNumber,
+            /// Wait that the request would have had.
+            wait_ms: u64,
+        },
     }
 }
 
@@ -124,7 +146,7 @@
     pub fn speed(&self) -> Option<TargetSpeed> {
         match self {
             Self::Granted { speed, .. } | Self::Queued { speed, .. } => Some(*speed),
-            Self::Refused { .. } | Self::Draining { .. } => None,
+            Self::Refused { .. } | Self::Draining { .. } | Self::Limited { .. } => None,
         }
     }
 
@@ -134,6 +156,7 @@
             Self::Granted { ticket, .. }
             | Self::Queued { ticket, .. }
             | Self::Refused { ticket, .. }
+            | Self::Limited { ticket, .. }
             | Self::Draining { ticket } => *ticket,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod link;
 pub mod metrics;
 pub mod request_limit;
+pub mod request_pace;
 pub mod rounding;
 pub mod settings;
 pub mod signals;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -163,6 +163,11 @@
     "guavacove.gateway.limited_requests",
     "Requests sent to targets whose limit was known, by service"
 );
+counter!(
+    GATEWAY_HELD_BACK,
+    "guavacove.gateway.held_back",
+    "Requests not sent to a target because of the limit that it states, by service"
+);
 counter!(
     LOG_LINES_DROPPED,
     "guavacove.log.left_out",
@@ -274,6 +279,11 @@
     GATEWAY_LIMITED_REQUESTS.add(1, &[KeyValue::new("service", service.0.clone())]);
 }
 
+/// Counts a request that was not sent to a target because of the target's limit.
+pub fn gateway_held_back(service: &ServiceName) {
+    GATEWAY_HELD_BACK.add(1, &[KeyValue::new("service", service.0.clone())]);
+}
+
 /// Counts dropped log lines.
 pub fn log_lines_dropped(lines: u64) {
     LOG_LINES_DROPPED.add(lines, &[]);
--- /dev/null
+++ b/src/request_pace.rs
@@ -0,0 +1,76 @@
+//! Spaces the requests to one target by the limit that it states, without clock or I/O.
+//!
+//! One process counts for all gateways: the target's agent or, for a target without one, the
+//! leader of the control group.
+//!
+//! | input | effect |
+//! |---|---|
+//! | the limit | a request is allowed each time the limit allows one more |
+//! | time without requests | allows at most one request, and those of a short time at the limit |
+//! | a new pace: the limit, the process or the leadership is new | allows none at first |
+//! | a limit of nearly nothing | allows a request now and then: only an answer can lift a limit |
+
+use crate::request_limit::RequestRate;
+
+/// A millionth of a request is what a thousandth of a request a second allows in a millisecond.
+const MICRO_PER_REQUEST: u64 = 1_000_000;
+/// Time at the limit that may accumulate beside a single request. Agents grant slots at
+/// intervals, and a high limit must not be lost between them.
+const MAX_ACCUMULATED_MS: u64 = 100;
+/// Interval of the requests to a target whose limit allows fewer.
+const PROBE_INTERVAL_MS: u64 = 30_000;
+
+/// What a target's limit currently allows.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestPace {
+    micro_requests: u64,
+    updated_ms: u64,
+}
+
+impl RequestPace {
+    /// Creates a pace that allows no request yet.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            micro_requests: 0,
+            updated_ms: now_ms,
+        }
+    }
+
+    /// Takes a request; the error is the time in milliseconds until one is allowed.
+    pub fn take(&mut self, rate: RequestRate, now_ms: u64) -> Result<(), u64> {
+        self.update(rate, now_ms);
+        match self.micro_requests.checked_sub(MICRO_PER_REQUEST) {
+            Some(rest) => {
+                self.micro_requests = rest;
+                Ok(())
+            }
+            None => Err(self.wait_ms(rate, 1, now_ms)),
+        }
+    }
+
+    /// Returns a request that was taken and not sent.
+    pub fn give_back(&mut self) {
+        self.micro_requests = self.micro_requests.saturating_add(MICRO_PER_REQUEST);
+    }
+
+    /// Returns the time in milliseconds until `count` more requests are allowed.
+    pub fn wait_ms(&self, rate: RequestRate, count: u64, now_ms: u64) -> u64 {
+        let mut pace = *self;
+        pace.update(rate, now_ms);
+        let missing = (count.saturating_mul(MICRO_PER_REQUEST)).saturating_sub(pace.micro_requests);
+        missing.div_ceil(effective_milli_per_s(rate))
+    }
+
+    fn update(&mut self, rate: RequestRate, now_ms: u64) {
+        let milli_per_s = effective_milli_per_s(rate);
+        let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
+        let max = MICRO_PER_REQUEST.saturating_add(milli_per_s.saturating_mul(MAX_ACCUMULATED_MS));
+        let allowed = elapsed_ms.saturating_mul(milli_per_s);
+        self.micro_requests = self.micro_requests.saturating_add(allowed).min(max);
+        self.updated_ms = self.updated_ms.max(now_ms);
+    }
+}
+
+fn effective_milli_per_s(rate: RequestRate) -> u64 {
+    rate.milli_per_s.max(MICRO_PER_REQUEST / PROBE_INTERVAL_MS)
+}
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -4,6 +4,7 @@
     agent::slots::{Reply, RequestKey, Slots},
     gateway::starvation::LongWorkShare,
     grants::{SlotRequest, TicketNumber},
+    request_limit::RequestLimit,
     units::TierRank,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -27,6 +28,7 @@
         pause_ms: 0,
         fingerprint: 0,
         is_favoured: false,
+        limit: RequestLimit::default(),
     }
 }
 
@@ -250,6 +252,7 @@
                 Reply::Queued(key, _) if !waiting.contains_key(&key) => return false,
                 Reply::Queued(..) => {}
                 Reply::Leaves(_) => unreachable!("the target is not draining"),
+                Reply::Limited(..) => unreachable!("the target states no limit"),
             }
         }
         if holding.len() > 2 || slots.load() != (holding.len(), waiting.len()) {
@@ -402,6 +405,7 @@
             begin_left_ms: 2000,
             deadline_left_ms: 15_000,
             is_favoured: self.long_work_share.has_priority(units),
+            limit: RequestLimit::default(),
             ..request(2, units)
         };
         let replies = self.slots.request_slot((0, ticket), &request, now_ms);
@@ -512,6 +516,7 @@
     assert_eq!(slots.speed().unit_micros, Some(12_000));
     let favoured = SlotRequest {
         is_favoured: true,
+        limit: RequestLimit::default(),
         ..request(0, 1000)
     };
     assert_eq!(
