Keep to the limits of targets without an agent at the leader

What targets saw: a plain target that stated a limit got the requests of every gateway as before. Found by looking for the cause of the incident elsewhere: these targets have no agent that could count for all gateways.

Change: before a request to such a target a gateway asks the leader, over the link of the quota accounts. TargetPaces allows requests of all gateways no faster than the limit, tells each refused one to come after those refused before it, and starts with nothing under a new leader. A refused gateway holds the target back until then and chooses another one; without another one the caller gets 503 with that time, or waits for a part of its objective, less in lower tiers. While no leader replies these targets get nothing.

Ruled out: a share for each gateway, which with 300 gateways is nothing or a multiple of a small limit; shares with renewals, which come up to 0.8 s late. The messages are bounded by the limits, not by the demand: one for each request allowed, and one for each time a gateway was told to come.

--- a/src/charges.rs
+++ b/src/charges.rs
@@ -3,7 +3,8 @@
 use crate::{
     control::accounts::ChargeResult,
     derives::{quantity, record},
-    units::CustomerName,
+    request_limit::RequestLimit,
+    units::{CustomerName, TargetName},
 };
 
 quantity! {
@@ -34,6 +35,26 @@
             /// Number of units.
             units: u64,
         },
+        /// Asks for a request to a target that states a limit.
+        ChargeTarget {
+            /// Identifies the charge on this link.
+            number: ChargeNumber,
+            /// The target.
+            target: TargetName,
+            /// Start time of that run of the target.
+            started_unix_ms: u64,
+            /// Its limit, as the gateway knows it.
+            limit: RequestLimit,
+            /// Maximum time that the request may wait.
+            max_wait_ms: u64,
+        },
+        /// Returns a request to a target that was not sent.
+        RefundTarget {
+            /// The target.
+            target: TargetName,
+            /// Start time of that run of the target.
+            started_unix_ms: u64,
+        },
     }
 
     /// Message from the accounts to a gateway.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,6 +23,7 @@
 pub mod shares;
 pub mod state;
 pub mod table;
+pub mod target_paces;
 
 pub use self::{
     api::{ApiCall, ApiDialect, ApiReply, NoApi},
--- a/src/control/quota_server.rs
+++ b/src/control/quota_server.rs
@@ -1,4 +1,5 @@
-//! Serves the leader's quota accounts to gateways over links.
+//! Serves the leader's quota accounts, and its paces of targets that state a limit, to gateways
+//! over links.
 //!
 //! Charges are on the critical path of requests, so they bypass the control thread. That thread
 //! only sets the quotas in force and extends the leader's lease.
@@ -6,6 +7,7 @@
 use super::{
     accounts::{ChargeResult, QuotaAccounts},
     shares::PPM_PER_UNIT,
+    target_paces::TargetPaces,
 };
 use crate::{
     accept,
@@ -13,7 +15,8 @@
     clock,
     document::Policy,
     link::{self, LinkReceiver, LinkSender},
-    units::{CustomerName, DocumentVersion},
+    request_limit::RequestLimit,
+    units::{CustomerName, DocumentVersion, TargetName},
 };
 use std::{
     io,
@@ -25,6 +28,7 @@
 #[derive(Default)]
 struct State {
     accounts: QuotaAccounts,
+    target_paces: TargetPaces,
     policy: Policy,
     reserved_ppm: u64,
     lease_expires_at_ms: u64,
@@ -40,6 +44,7 @@
     pub fn start_term(&self, tolerance_per_s: u64, idle_ms: u64) {
         let mut state = self.state();
         state.accounts = QuotaAccounts::new(tolerance_per_s, idle_ms, clock::boot_ms());
+        state.target_paces = TargetPaces::default();
         state.lease_expires_at_ms = 0;
     }
 
@@ -99,6 +104,24 @@
                     Some(charge) => FromAccounts::Outcome { number, charge },
                     None => FromAccounts::NotLeader { number },
                 },
+                ToAccounts::ChargeTarget {
+                    number,
+                    target,
+                    started_unix_ms,
+                    limit,
+                    max_wait_ms,
+                } => match self.charge_target(&target, started_unix_ms, limit, max_wait_ms) {
+                    Some(charge) => FromAccounts::Outcome { number, charge },
+                    None => FromAccounts::NotLeader { number },
+                },
+                ToAccounts::RefundTarget {
+                    target,
+                    started_unix_ms,
+                } => {
+                    let mut state = self.state();
+                    state.target_paces.give_back(&target, started_unix_ms);
+                    continue;
+                }
                 ToAccounts::Refund { customer, units } => {
                     self.state().accounts.refund(&customer, units);
                     continue;
@@ -135,6 +158,23 @@
         Some(accounts.charge(customer, quota, units, max_wait_ms, reserved_ppm, now_ms))
     }
 
+    /// Takes a request to a target; `None` if this instance is not the leader.
+    fn charge_target(
+        &self,
+        target: &TargetName,
+        started_unix_ms: u64,
+        limit: RequestLimit,
+        max_wait_ms: u64,
+    ) -> Option<ChargeResult> {
+        let now_ms = clock::boot_ms();
+        let mut state = self.state();
+        if now_ms >= state.lease_expires_at_ms {
+            return None;
+        }
+        let paces = &mut state.target_paces;
+        Some(paces.take(target, started_unix_ms, limit, max_wait_ms, now_ms))
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().expect("no holder panics")
     }
--- a/src/gateway/account_link.rs
+++ b/src/gateway/account_link.rs
@@ -1,4 +1,4 @@
-//! Link to the quota accounts of the current leader.
+//! Link to the quota accounts of the current leader, and to its paces of targets that state a limit.
 //!
 //! One task owns the link. When the link breaks, pending charges fail and the accounts count as
 //! unreachable.
@@ -8,7 +8,8 @@
     clock,
     control::accounts::ChargeResult,
     link::{self, KeepaliveGuard, LinkReceiver, LinkSender},
-    units::CustomerName,
+    request_limit::RequestLimit,
+    units::{CustomerName, TargetName},
 };
 use std::{
     collections::HashMap,
@@ -39,18 +40,73 @@
     sent_ms: u64,
 }
 
+/// What the leader is asked for.
+#[derive(Clone, Debug)]
+pub enum Charge {
+    /// Units of a customer's quota.
+    Quota {
+        /// The customer.
+        customer: CustomerName,
+        /// Number of units.
+        units: u64,
+    },
+    /// A request to a run of a target that states a limit.
+    Target {
+        /// The target.
+        target: TargetName,
+        /// Start time of that run.
+        started_unix_ms: u64,
+        /// Its limit, as this gateway knows it.
+        limit: RequestLimit,
+    },
+}
+
+impl Charge {
+    fn message(&self, number: ChargeNumber, max_wait_ms: u64) -> ToAccounts {
+        match self.clone() {
+            Self::Quota { customer, units } => ToAccounts::Charge {
+                number,
+                customer,
+                units,
+                max_wait_ms,
+            },
+            Self::Target {
+                target,
+                started_unix_ms,
+                limit,
+            } => ToAccounts::ChargeTarget {
+                number,
+                target,
+                started_unix_ms,
+                limit,
+                max_wait_ms,
+            },
+        }
+    }
+
+    fn refund_message(self) -> ToAccounts {
+        match self {
+            Self::Quota { customer, units } => ToAccounts::Refund { customer, units },
+            Self::Target {
+                target,
+                started_unix_ms,
+                ..
+            } => ToAccounts::RefundTarget {
+                target,
+                started_unix_ms,
+            },
+        }
+    }
+}
+
 enum Command {
     Charge {
         accounts: SocketAddr,
-        customer: CustomerName,
-        units: u64,
+        charge: Charge,
         max_wait_ms: u64,
         reply: oneshot::Sender<ChargeResult>,
     },
-    Refund {
-        customer: CustomerName,
-        units: u64,
-    },
+    Refund(Charge),
 }
 
 /// Handle to the task that owns the link.
@@ -81,8 +137,7 @@
     pub fn request_charge(
         &self,
         accounts: SocketAddr,
-        customer: &CustomerName,
-        units: u64,
+        charge: Charge,
         max_wait_ms: u64,
     ) -> Option<ChargeRequest<'_>> {
         let now_ms = clock::boot_ms();
@@ -93,26 +148,24 @@
             }
             self.last_probe_ms.store(now_ms, Ordering::Relaxed);
         }
-        let (reply, charge) = oneshot::channel();
+        let (reply, result) = oneshot::channel();
         // Sending cannot fail: the task runs as long as the gateway.
         let _ = self.commands.send(Command::Charge {
             accounts,
-            customer: customer.clone(),
-            units,
+            charge,
             max_wait_ms,
             reply,
         });
         Some(ChargeRequest {
             link: self,
-            charge: Some(charge),
+            charge: Some(result),
             sent_ms: now_ms,
         })
     }
 
-    /// Refunds the units of a request that did not run.
-    pub fn refund(&self, customer: &CustomerName, units: u64) {
-        let customer = customer.clone();
-        let _ = self.commands.send(Command::Refund { customer, units });
+    /// Refunds the charge of a request that was not sent or did not run.
+    pub fn refund(&self, charge: Charge) {
+        let _ = self.commands.send(Command::Refund(charge));
     }
 }
 
@@ -168,8 +221,7 @@
 }
 
 struct PendingCharge {
-    customer: CustomerName,
-    units: u64,
+    charge: Charge,
     reply: oneshot::Sender<ChargeResult>,
     _keepalive: KeepaliveGuard,
 }
@@ -207,8 +259,7 @@
         match command {
             Command::Charge {
                 accounts,
-                customer,
-                units,
+                charge,
                 max_wait_ms,
                 reply,
             } => {
@@ -218,24 +269,16 @@
                 };
                 self.last_number += 1;
                 let number = ChargeNumber(self.last_number);
-                let message = ToAccounts::Charge {
-                    number,
-                    customer: customer.clone(),
-                    units,
-                    max_wait_ms,
-                };
+                let message = charge.message(number, max_wait_ms);
                 let pending = PendingCharge {
-                    customer,
-                    units,
+                    charge,
                     reply,
                     _keepalive: connection.sender.keep_alive(),
                 };
                 self.pending.insert(number, pending);
                 self.send(message);
             }
-            Command::Refund { customer, units } => {
-                self.send(ToAccounts::Refund { customer, units });
-            }
+            Command::Refund(charge) => self.send(charge.refund_message()),
         }
     }
 
@@ -258,10 +301,7 @@
                 let is_charged = matches!(charge, ChargeResult::Charged { .. });
                 // The request may have stopped waiting and doesn't use the charge.
                 if pending.reply.send(charge).is_err() && is_charged {
-                    let PendingCharge {
-                        customer, units, ..
-                    } = pending;
-                    self.send(ToAccounts::Refund { customer, units });
+                    self.send(pending.charge.refund_message());
                 }
             }
             FromAccounts::NotLeader { number } => {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,7 +1,7 @@
 //! Request execution: quota admission, slot acquisition, attempts at targets and retries.
 
 use super::{
-    account_link::AccountLink,
+    account_link::{AccountLink, Charge},
     body::Relay,
     connections::{CallError, Connection, ConnectionPool},
     dialect::{ForwardedMetadata, TrafficDialect},
@@ -55,6 +55,10 @@
 /// `Retry-After` if no target ran the request, for reasons that don't tell how long to wait.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 250;
 
+/// Time for which a target without an agent gets no requests while it states a limit and the
+/// leader, who counts them, does not reply.
+const LEADER_AWAY_HOLD_MS: u64 = 300;
+
 /// State shared by the attempts of all requests.
 pub struct Attempts<D> {
     /// Dialect of the headers.
@@ -191,8 +195,10 @@
         let accounts = self.view.load().accounts;
         let max_wait_ms = max_quota_wait_ms(incoming, quota);
         let mut charge_request = accounts.and_then(|accounts| {
+            let customer = customer.clone();
+            let charge = Charge::Quota { customer, units };
             self.account_link
-                .request_charge(accounts, customer, units, max_wait_ms)
+                .request_charge(accounts, charge, max_wait_ms)
         });
         let is_near_limit = self.local_quotas().is_near_limit(customer);
         let mut charge = match &mut charge_request {
@@ -252,7 +258,10 @@
         let units = incoming.quota_units();
         match charge_source {
             ChargeSource::NoQuota => {}
-            ChargeSource::LeaderAccount => self.account_link.refund(&customer.name, units),
+            ChargeSource::LeaderAccount => self.account_link.refund(Charge::Quota {
+                customer: customer.name.clone(),
+                units,
+            }),
             ChargeSource::LocalShare => self.local_quotas().refund(&customer.name, units),
         }
     }
@@ -498,14 +507,64 @@
             pause_ms: incoming.route.event_gap_objective_ms,
             fingerprint: incoming.fingerprint(),
         };
-        let acquired = self.targets.acquire(&query).await;
-        acquired.map_err(|refusal| match progress.possible_runs {
-            0 => refusal,
-            _ => Refusal::may_have_run(
-                Reason::TargetFailed,
-                "a target failed, and no other one takes it",
-            ),
-        })
+        loop {
+            let acquired = self.targets.acquire(&query).await;
+            let slot = acquired.map_err(|refusal| match progress.possible_runs {
+                0 => refusal,
+                _ => Refusal::may_have_run(
+                    Reason::TargetFailed,
+                    "a target failed, and no other one takes it",
+                ),
+            })?;
+            match self.keep_to_limit(&query, &slot).await {
+                Ok(()) => return Ok(slot),
+                Err(wait_ms) => slot.hold_back(&incoming.id, wait_ms),
+            }
+        }
+    }
+
+    /// Takes a request to a target that states a limit and has no agent: the leader spaces the
+    /// requests of all gateways. The error is the time in milliseconds until the limit allows one.
+    async fn keep_to_limit(&self, query: &SlotQuery<'_>, slot: &SlotGuard) -> Result<(), u64> {
+        let Some(limit) = slot.limit_without_agent() else {
+            return Ok(());
+        };
+        let objective_left_ms = query
+            .waiting
+            .objective_at_ms
+            .saturating_sub(clock::boot_ms());
+        let max_wait_ms = match self.targets.has_alternative(query, &slot.target.name) {
+            true => 0,
+            false => max_wait_of_tier_ms(objective_left_ms, query.waiting.rank),
+        };
+        let charge = Charge::Target {
+            target: slot.target.name.clone(),
+            started_unix_ms: slot.target.started_unix_ms,
+            limit,
+        };
+        let accounts = self.view.load().accounts;
+        let charge_request = accounts.and_then(|accounts| {
+            self.account_link
+                .request_charge(accounts, charge.clone(), max_wait_ms)
+        });
+        let result = match charge_request {
+            Some(mut request) => request.wait_briefly().await,
+            None => None,
+        };
+        match result {
+            Some(ChargeResult::Charged { after_ms, .. }) => {
+                tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                match slot.accepts_work() {
+                    true => Ok(()),
+                    false => {
+                        self.account_link.refund(charge);
+                        Err(0)
+                    }
+                }
+            }
+            Some(ChargeResult::Refused { wait_ms }) => Err(wait_ms),
+            None => Err(LEADER_AWAY_HOLD_MS),
+        }
     }
 
     /// Builds the request to a target; `None` if it cannot be forwarded.
@@ -635,12 +694,16 @@
     let objective_left_ms = incoming.route.objective_ms.saturating_sub(waited_ms);
     match is_small_request(incoming, quota) {
         true => SMALL_REQUEST_ADVANCE_MS,
-        false => objective_left_ms
-            .checked_shr(1 + u32::from(incoming.route.rank.0))
-            .unwrap_or(0),
+        false => max_wait_of_tier_ms(objective_left_ms, incoming.route.rank),
     }
 }
 
+/// Returns the part of the time until the objective that a request of this tier may wait.
+fn max_wait_of_tier_ms(objective_left_ms: u64, rank: TierRank) -> u64 {
+    let shift = 1 + u32::from(rank.0);
+    objective_left_ms.checked_shr(shift).unwrap_or(0)
+}
+
 /// Returns whether the request costs so little of the quota that it is sent at once, before the
 /// account covers it.
 fn is_small_request(incoming: &IncomingRequest, quota: QuotaPolicy) -> bool {
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -5,6 +5,7 @@
 //! | a response that reports the target as draining | this run of the target gets no new requests |
 //! | a refusal with `Retry-After` | the target gets no new requests until then |
 //! | a stated limit on requests a second, or none after one | see [`crate::request_limit`] |
+//! | the limit allows no request yet | the target gets none until it does, or the limit changes |
 //!
 //! A run of a target is identified by name and start time, so a restarted target counts as
 //! available. The directory may list a draining target as ready for a long time, or list it
@@ -36,6 +37,8 @@
     is_draining: bool,
     paused_until_ms: u64,
     limit: KnownLimit,
+    /// Time until which its limit allows this gateway no request.
+    held_back_until_ms: u64,
     listed_ms: u64,
 }
 
@@ -73,7 +76,16 @@
             return false;
         }
         let report = self.report(target, now_ms);
-        report.limit.observe(stated, sent_ms, now_ms)
+        let is_changed = report.limit.observe(stated, sent_ms, now_ms);
+        if is_changed {
+            report.held_back_until_ms = 0;
+        }
+        is_changed
+    }
+
+    /// Records that the target's limit allows no request for `for_ms`.
+    pub fn record_held_back(&mut self, target: &TargetEntry, for_ms: u64, now_ms: u64) {
+        self.report(target, now_ms).held_back_until_ms = now_ms + for_ms;
     }
 
     /// Returns the limit of a target.
@@ -89,10 +101,11 @@
         }
         match self.0.get(&key(target)) {
             Some(report) if report.is_draining => Availability::Draining,
-            Some(report) if now_ms < report.paused_until_ms => {
-                Availability::PausedUntil(report.paused_until_ms)
-            }
-            _ => Availability::Available,
+            Some(report) => match report.paused_until_ms.max(report.held_back_until_ms) {
+                until_ms if now_ms < until_ms => Availability::PausedUntil(until_ms),
+                _ => Availability::Available,
+            },
+            None => Availability::Available,
         }
     }
 
@@ -111,6 +124,7 @@
             is_draining: false,
             paused_until_ms: 0,
             limit: KnownLimit::default(),
+            held_back_until_ms: 0,
             listed_ms: now_ms,
         })
     }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -100,6 +100,8 @@
     work_units: u64,
     prompt_tokens: u64,
     slot_request: Option<PendingSlotRequest>,
+    /// Whether no request was sent, as the target's limit allowed none.
+    is_held_back: bool,
 }
 
 #[derive(Default)]
@@ -187,12 +189,11 @@
         }
         let queue = state.queues.entry(self.service.clone()).or_default();
         queue.in_progress = queue.in_progress.saturating_sub(1);
-        let ran_ms = clock::boot_ms().saturating_sub(self.began_ms);
-        queue.run_ms = Some(
-            queue
-                .run_ms
-                .map_or(ran_ms, |run_ms| (run_ms * 7 + ran_ms) / 8),
-        );
+        if !self.is_held_back {
+            let ran_ms = clock::boot_ms().saturating_sub(self.began_ms);
+            let average_ms = queue.run_ms.unwrap_or(ran_ms);
+            queue.run_ms = Some((average_ms * 7 + ran_ms) / 8);
+        }
         self.targets.wake_queue(&mut state, &self.service);
     }
 }
@@ -367,6 +368,12 @@
         }
     }
 
+    /// Returns whether a request could go to another target than this one.
+    pub fn has_alternative(&self, query: &SlotQuery, target: &TargetName) -> bool {
+        let (targets, _) = self.ranked_targets(&self.state(), query, clock::boot_ms());
+        targets.iter().any(|other| other.name != *target)
+    }
+
     fn long_work_share<'a>(state: &'a mut State, query: &SlotQuery) -> &'a mut LongWorkShare {
         state
             .long_work_shares
@@ -579,6 +586,7 @@
             work_units: query.work_units,
             prompt_tokens: query.prompt_tokens,
             slot_request,
+            is_held_back: false,
         }
     }
 
--- a/src/gateway/targets/feedback.rs
+++ b/src/gateway/targets/feedback.rs
@@ -165,6 +165,33 @@
         }
     }
 
+    /// Returns the limit of the target if it states one and no agent keeps to it.
+    pub fn limit_without_agent(&self) -> Option<RequestLimit> {
+        let limit = self.targets.state().availability.limit(&self.target);
+        (self.slot_request.is_none() && limit.rate.is_some()).then_some(limit)
+    }
+
+    /// Returns whether the target accepts new work.
+    pub fn accepts_work(&self) -> bool {
+        let state = self.targets.state();
+        let now_ms = clock::boot_ms();
+        self.targets.accepts_work(&state, &self.target, now_ms)
+    }
+
+    /// Gives the slot up, as the target's limit allows this gateway no request for `for_ms`.
+    pub fn hold_back(mut self, request: &str, for_ms: u64) {
+        let now_ms = clock::boot_ms();
+        self.targets
+            .state()
+            .availability
+            .record_held_back(&self.target, for_ms, now_ms);
+        self.is_held_back = true;
+        metrics::gateway_held_back(&self.service);
+        tracing::info!(
+            request, target = %self.target.name, for_ms, "gateway: target is at its limit"
+        );
+    }
+
     /// Backs off briefly from a target that reported that it is full.
     pub fn record_full(&self) {
         let mut state = self.targets.state();
--- a/src/request_pace.rs
+++ b/src/request_pace.rs
@@ -13,7 +13,7 @@
 use crate::request_limit::RequestRate;
 
 /// A millionth of a request is what a thousandth of a request a second allows in a millisecond.
-const MICRO_PER_REQUEST: u64 = 1_000_000;
+const MICRO_PER_REQUEST: i64 = 1_000_000;
 /// Time at the limit that may accumulate beside a single request. Agents grant slots at
 /// intervals, and a high limit must not be lost between them.
 const MAX_ACCUMULATED_MS: u64 = 100;
@@ -23,7 +23,8 @@
 /// What a target's limit currently allows.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestPace {
-    micro_requests: u64,
+    /// Negative while requests have been allowed in advance.
+    micro_requests: i64,
     updated_ms: u64,
 }
 
@@ -38,13 +39,24 @@
 
     /// Takes a request; the error is the time in milliseconds until one is allowed.
     pub fn take(&mut self, rate: RequestRate, now_ms: u64) -> Result<(), u64> {
+        self.reserve(rate, 0, now_ms).map(|_| ())
+    }
+
+    /// Takes a request that may be sent after a delay of at most `max_wait_ms`, and returns that
+    /// delay in milliseconds; the error is the delay that it would need.
+    pub fn reserve(
+        &mut self,
+        rate: RequestRate,
+        max_wait_ms: u64,
+        now_ms: u64,
+    ) -> Result<u64, u64> {
         self.update(rate, now_ms);
-        match self.micro_requests.checked_sub(MICRO_PER_REQUEST) {
-            Some(rest) => {
-                self.micro_requests = rest;
-                Ok(())
+        match self.wait_ms(rate, 1, now_ms) {
+            wait_ms if wait_ms <= max_wait_ms => {
+                self.micro_requests -= MICRO_PER_REQUEST;
+                Ok(wait_ms)
             }
-            None => Err(self.wait_ms(rate, 1, now_ms)),
+            wait_ms => Err(wait_ms),
         }
     }
 
@@ -57,20 +69,34 @@
     pub fn wait_ms(&self, rate: RequestRate, count: u64, now_ms: u64) -> u64 {
         let mut pace = *self;
         pace.update(rate, now_ms);
-        let missing = (count.saturating_mul(MICRO_PER_REQUEST)).saturating_sub(pace.micro_requests);
-        missing.div_ceil(effective_milli_per_s(rate))
+        let wanted = signed(count).saturating_mul(MICRO_PER_REQUEST);
+        let missing = wanted.saturating_sub(pace.micro_requests).max(0);
+        missing.unsigned_abs().div_ceil(effective_milli_per_s(rate))
+    }
+
+    /// Returns the time in milliseconds for which a limit allows one request.
+    pub fn interval_ms(rate: RequestRate) -> u64 {
+        MICRO_PER_REQUEST
+            .unsigned_abs()
+            .div_ceil(effective_milli_per_s(rate))
     }
 
     fn update(&mut self, rate: RequestRate, now_ms: u64) {
         let milli_per_s = effective_milli_per_s(rate);
         let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
-        let max = MICRO_PER_REQUEST.saturating_add(milli_per_s.saturating_mul(MAX_ACCUMULATED_MS));
-        let allowed = elapsed_ms.saturating_mul(milli_per_s);
+        let accumulated = signed(milli_per_s.saturating_mul(MAX_ACCUMULATED_MS));
+        let max = MICRO_PER_REQUEST.saturating_add(accumulated);
+        let allowed = signed(elapsed_ms.saturating_mul(milli_per_s));
         self.micro_requests = self.micro_requests.saturating_add(allowed).min(max);
         self.updated_ms = self.updated_ms.max(now_ms);
     }
 }
 
 fn effective_milli_per_s(rate: RequestRate) -> u64 {
-    rate.milli_per_s.max(MICRO_PER_REQUEST / PROBE_INTERVAL_MS)
+    let probe_milli_per_s = MICRO_PER_REQUEST.unsigned_abs() / PROBE_INTERVAL_MS;
+    rate.milli_per_s.max(probe_milli_per_s)
+}
+
+fn signed(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
 }
--- /dev/null
+++ b/tests/target_paces.rs
@@ -0,0 +1,125 @@
+//! Requests of all gateways to a target without an agent that states a limit.
+
+use guavacove::{
+    control::{accounts::ChargeResult, target_paces::TargetPaces},
+    request_limit::{RequestLimit, RequestRate},
+};
+use std::collections::BTreeMap;
+
+const START_MS: u64 = 1_000_000;
+/// Window over which requests are counted.
+const WINDOW_MS: u64 = 4000;
+/// Time for which a gateway holds back without a reply of the leader.
+const LEADER_AWAY_HOLD_MS: u64 = 300;
+
+fn limit(milli_per_s: u64) -> RequestLimit {
+    RequestLimit {
+        version: 0,
+        rate: Some(RequestRate { milli_per_s }),
+    }
+}
+
+/// Every gateway wants to send at any moment. It learns of the limit at its own moment, and holds
+/// back for as long as it is told. The leader is away from `lost_ms` for a second, and the next
+/// one knows nothing. Returns when requests of gateways that knew the limit were sent.
+fn sends(gateways: u64, milli_per_s: u64, max_wait_ms: u64, lost_ms: u64) -> (Vec<u64>, u64) {
+    let target = "plain-1".into();
+    let mut paces = TargetPaces::default();
+    let mut held_until_ms: BTreeMap<u64, u64> = BTreeMap::new();
+    let (mut sent, mut asked) = (Vec::new(), 0);
+    for now_ms in (START_MS..START_MS + 30_000).step_by(10) {
+        let since_ms = now_ms - START_MS;
+        if since_ms == lost_ms {
+            paces = TargetPaces::default();
+        }
+        let is_away = (lost_ms..lost_ms + 1000).contains(&since_ms);
+        for gateway in 0..gateways {
+            let knows = since_ms >= gateway * 2000 / gateways;
+            let held_ms = held_until_ms.get(&gateway).copied().unwrap_or(0);
+            if !knows || now_ms < held_ms {
+                continue;
+            }
+            asked += 1;
+            let wait_ms = match is_away {
+                true => LEADER_AWAY_HOLD_MS,
+                false => match paces.take(&target, 1, limit(milli_per_s), max_wait_ms, now_ms) {
+                    ChargeResult::Charged { after_ms, .. } => {
+                        sent.push(now_ms + after_ms);
+                        10
+                    }
+                    ChargeResult::Refused { wait_ms } => wait_ms,
+                },
+            };
+            held_until_ms.insert(gateway, now_ms + wait_ms);
+        }
+    }
+    sent.sort_unstable();
+    (sent, asked)
+}
+
+/// Guards against a target that gets more requests from all gateways together than the limit that
+/// it states: incident 2026-12-filings-target-limit.
+#[test]
+fn the_leader_allows_no_more_than_the_limit_however_many_gateways_ask() {
+    for gateways in [1, 3, 12, 100, 300] {
+        for milli_per_s in [200, 1000, 7500, 50_000] {
+            for max_wait_ms in [0, 150] {
+                for lost_ms in [0, 7000, 15_550] {
+                    let (sent, asked) = sends(gateways, milli_per_s, max_wait_ms, lost_ms);
+                    let in_window = |start: &u64| {
+                        let window = *start..start + WINDOW_MS;
+                        sent.iter().filter(|at| window.contains(at)).count() as u64
+                    };
+                    let most = sent.iter().map(in_window).max().unwrap_or(0);
+                    let allowed = milli_per_s * WINDOW_MS / 1_000_000 + 2 + milli_per_s / 5000;
+                    let case = format!("{gateways} gateways, {milli_per_s}, {max_wait_ms} ms");
+                    assert!(most <= allowed, "{case}: {most} in 4 s, {allowed} expected");
+                    // What a few requests can use.
+                    let usable = milli_per_s.min(gateways * 50_000) * 22_000 / 1_000_000;
+                    assert!(
+                        sent.len() as u64 >= usable * 8 / 10,
+                        "{case}: {} in 30 s, {usable} usable",
+                        sent.len()
+                    );
+                    // Gateways do not all come back at once, nor before there is room.
+                    let most_asked = 3 * sent.len() as u64 + gateways * 12;
+                    assert!(asked <= most_asked, "{case}: {asked} asked");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_later_run_of_a_target_has_no_limit_until_it_states_one() {
+    let mut paces = TargetPaces::default();
+    let target = "plain-1".into();
+    let allowed = |charge| matches!(charge, ChargeResult::Charged { .. });
+    assert!(!allowed(paces.take(&target, 1, limit(1000), 0, START_MS)));
+    assert!(allowed(paces.take(
+        &target,
+        2,
+        RequestLimit::default(),
+        0,
+        START_MS
+    )));
+    assert!(
+        !allowed(paces.take(&target, 1, limit(1000), 0, START_MS + 5000)),
+        "the gateway does not know the later run"
+    );
+}
+
+#[test]
+fn a_request_that_was_not_sent_is_allowed_again() {
+    let mut paces = TargetPaces::default();
+    let target = "plain-1".into();
+    let take = |paces: &mut TargetPaces| paces.take(&target, 1, limit(1000), 5000, START_MS);
+    let charged = |after_ms| ChargeResult::Charged {
+        is_ample: false,
+        after_ms,
+    };
+    assert_eq!(take(&mut paces), charged(1000));
+    assert_eq!(take(&mut paces), charged(2000));
+    paces.give_back(&"plain-1".into(), 1);
+    assert_eq!(take(&mut paces), charged(2000));
+}
