Tell all gateways of a target's limit through the directory

What targets saw: each gateway learnt of a limit only by an answer to a request of its own. With 300 gateways a target in need gets 300 requests beyond what it asked for, and after a restart of its agent the agent learns only from gateways that happened to have asked before.

Change: a gateway reports limits that the directory lacks, at once and with each renewal until the directory has them. The leader keeps the newest one of each run of a target and pushes it like any change of a target; replicas cache it, so that it outlasts the leader. Versions order the reports: a limit is raised or lifted only by a gateway that knew it, by an answer to a later request; of one version the stricter counts. So order and repetition of reports do not matter.

--- a/benches/measures.rs
+++ b/benches/measures.rs
@@ -376,6 +376,7 @@
         members_seen: None,
         targets_seen: None,
         demand: guavacove::control::shares::Demand::default(),
+        limits: Vec::new(),
         orders: TargetOrders::default(),
         wait_ms: 800,
         goodbye: false,
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -5,7 +5,7 @@
 //! that announcements sent before the withdrawal do not restore it.
 
 use super::table::{Changes, Position, Table};
-use crate::{derives::record, units::*};
+use crate::{derives::record, request_limit::RequestLimit, units::*};
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
@@ -49,6 +49,20 @@
         pub leaving: bool,
         /// Whether it is still warming up after its start.
         pub warming_up: bool,
+        /// The limit that it states in its answers, as gateways report it; not part of its
+        /// announcements.
+        #[serde(default)]
+        pub limit: RequestLimit,
+    }
+
+    /// The limit of one run of a target, as a gateway reports it.
+    pub struct LimitReport {
+        /// The target.
+        pub target: TargetName,
+        /// Start time of that run.
+        pub started_unix_ms: u64,
+        /// Its limit.
+        pub limit: RequestLimit,
     }
 
     /// A target's periodic announcement.
@@ -112,7 +126,10 @@
 
     /// Applies an announcement; returns whether the published entries changed.
     pub fn announce(&mut self, announcement: TargetAnnouncement, now_ms: u64) -> bool {
-        let TargetAnnouncement { entry, sequence } = announcement;
+        let TargetAnnouncement {
+            mut entry,
+            sequence,
+        } = announcement;
         let version = AnnouncementVersion {
             started_unix_ms: entry.started_unix_ms,
             sequence,
@@ -139,11 +156,30 @@
             }
             None => {}
         }
+        if let Some(known) = self.table.get(&entry.name)
+            && known.started_unix_ms == entry.started_unix_ms
+            && known.limit.supersedes(&entry.limit)
+        {
+            entry.limit = known.limit;
+        }
         self.latest_versions.insert(entry.name.clone(), version);
         self.index_address(&entry);
         self.table.put(entry.name.clone(), entry, now_ms)
     }
 
+    /// Takes over a limit that a gateway reports; returns whether it was news.
+    pub fn report_limit(&mut self, report: &LimitReport) -> bool {
+        let known = self.table.get(&report.target);
+        let is_news = known.is_some_and(|known| {
+            known.started_unix_ms == report.started_unix_ms && report.limit.supersedes(&known.limit)
+        });
+        if is_news {
+            self.table
+                .update(&report.target, |entry| entry.limit = report.limit);
+        }
+        is_news
+    }
+
     /// Removes a target that has withdrawn; returns whether it was present.
     pub fn withdraw(&mut self, name: &TargetName) -> bool {
         let version = self.latest_versions.get(name).copied();
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -7,7 +7,7 @@
 
 use super::{
     command::{Command, Reply},
-    directory::{self, Directory, TargetAnnouncement},
+    directory::{self, Directory, LimitReport, TargetAnnouncement},
     limits::{LimitGrant, LimitWant, Limits},
     members::{MEMBER_LEASE_MS, MEMBERS_REBUILD_MS, ProcessRole, ProcessStatus, ProcessTable},
     peers::{PeerMessage, Peers},
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -135,6 +135,23 @@
         }
     }
 
+    /// Records the limits of targets that a gateway reports.
+    fn report_limits(&mut self, gateway: &ProcessName, reports: &[LimitReport]) {
+        for report in reports {
+            if self.directory.report_limit(report) {
+                let limit_per_s = report
+                    .limit
+                    .rate
+                    .map_or("none".into(), |rate| rate.to_string());
+                tracing::info!(
+                    target = %report.target, started_unix_ms = report.started_unix_ms, limit_per_s,
+                    version = report.limit.version, %gateway, "control: limit of target changed"
+                );
+                self.has_updates = true;
+            }
+        }
+    }
+
     /// Removes a target from the directory.
     pub(super) fn withdraw(&mut self, target: &TargetName) {
         if self.directory.withdraw(target) {
@@ -169,6 +186,7 @@
                 if request.member.role == ProcessRole::Gateway {
                     let (name, demand) = (request.member.name.clone(), request.demand.clone());
                     self.demands.report(name, demand, now_ms);
+                    self.report_limits(&request.member.name, &request.limits);
                 }
                 let status = ProcessStatus {
                     member: request.member.clone(),
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -2,7 +2,7 @@
 
 use super::{
     command::{Claim, ClaimKey, ClaimedAttempt, Outcome},
-    directory::{TargetAnnouncement, TargetChanges, TargetEntry, TargetsPosition},
+    directory::{LimitReport, TargetAnnouncement, TargetChanges, TargetEntry, TargetsPosition},
     limits::{LimitGrant, LimitWant},
     members::*,
     orders::{Order, TargetOrders},
@@ -34,6 +34,9 @@
         pub targets_seen: Option<TargetsPosition>,
         /// A gateway's recent demand.
         pub demand: Demand,
+        /// Limits of targets that a gateway knows and the directory does not.
+        #[serde(default)]
+        pub limits: Vec<LimitReport>,
         /// The desired state of its target, as it last received it.
         pub orders: TargetOrders,
         /// Maximum time that the leader may hold the request until something changes, in
--- a/src/control/table.rs
+++ b/src/control/table.rs
@@ -72,6 +72,15 @@
         is_changed
     }
 
+    /// Changes a row, if it exists, without renewing it.
+    pub fn update(&mut self, key: &K, change: impl FnOnce(&mut V)) {
+        if let Some(row) = self.rows.get_mut(key) {
+            self.revision += 1;
+            row.revision = self.revision;
+            change(&mut row.value);
+        }
+    }
+
     /// Removes a row; returns whether it existed.
     pub fn remove(&mut self, key: &K) -> bool {
         let removed = self.rows.remove(key).is_some();
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -9,7 +9,7 @@
     clock,
     control::{
         ControlClient,
-        directory::{TargetChanges, TargetEntry, TargetsPosition, remove_replaced},
+        directory::{LimitReport, TargetChanges, TargetEntry, TargetsPosition, remove_replaced},
         members::*,
         orders::TargetOrders,
         rpc::*,
@@ -105,6 +105,7 @@
     registration_sender: watch::Sender<Member>,
     load: Arc<Mutex<ProcessLoad>>,
     demand: Arc<Mutex<Demand>>,
+    limit_sender: watch::Sender<Vec<LimitReport>>,
     client: Arc<ControlClient>,
 }
 
@@ -114,6 +115,7 @@
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let (version_sender, versions) = watch::channel(DocumentVersion(0));
         let (registration_sender, registration) = watch::channel(member);
+        let (limit_sender, limits) = watch::channel(Vec::new());
         let arguments = (Arc::clone(&view), version_sender);
         let load = Arc::new(Mutex::new(ProcessLoad::default()));
         let demand = Arc::new(Mutex::new(Demand::default()));
@@ -123,6 +125,7 @@
             view: Arc::clone(&view),
             load: Arc::clone(&load),
             registration,
+            limits,
         };
         threads::spawn_control("control-view", async move {
             match Actor::spawn(None, ViewActor, arguments).await {
@@ -136,10 +139,21 @@
             registration_sender,
             load,
             demand,
+            limit_sender,
             client,
         }
     }
 
+    /// Sets the limits of targets that the directory lacks; they are reported immediately, and
+    /// with each renewal until the directory has them.
+    pub fn report_limits(&self, limits: Vec<LimitReport>) {
+        self.limit_sender.send_if_modified(|current| {
+            let is_changed = *current != limits;
+            *current = limits;
+            is_changed
+        });
+    }
+
     /// Sets a gateway's demand, which is reported with the next renewal.
     pub fn report_demand(&self, demand: Demand) {
         *self.demand.lock().expect("no holder panics") = demand;
@@ -201,6 +215,7 @@
     SyncRequest {
         load,
         demand,
+        limits: Vec::new(),
         targets_seen: view.targets_seen.clone(),
         document_version: view.policy.version,
         members_wanted: member.role == ProcessRole::Entry,
@@ -218,6 +233,7 @@
     load: Arc<Mutex<ProcessLoad>>,
     demand: Arc<Mutex<Demand>>,
     registration: watch::Receiver<Member>,
+    limits: watch::Receiver<Vec<LimitReport>>,
 }
 
 impl RenewalTask {
@@ -235,7 +251,10 @@
             let member = self.registration.borrow_and_update().clone();
             let demand = self.demand.lock().expect("no holder panics").clone();
             let load = self.load.lock().expect("no holder panics").clone();
-            let request = renewal_request(member, load, demand, &self.view.load(), wait_ms);
+            let request = SyncRequest {
+                limits: self.limits.borrow_and_update().clone(),
+                ..renewal_request(member, load, demand, &self.view.load(), wait_ms)
+            };
             // The time of the last attempt: earlier attempts may have taken long without a
             // reply.
             let sent_ms = AtomicU64::new(0);
@@ -257,6 +276,10 @@
                     }
                     Err(_) => return,
                 },
+                Ok(()) = self.limits.changed() => {
+                    wait_ms = 0;
+                    continue;
+                }
             };
             wait_ms = MAX_RENEWAL_HOLD_MS;
             match reply {
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -5,6 +5,7 @@
 //! | a response that reports the target as draining | this run of the target gets no new requests |
 //! | a refusal with `Retry-After` | the target gets no new requests until then |
 //! | a stated limit on requests a second, or none after one | see [`crate::request_limit`] |
+//! | a limit that the directory has | as if the target had stated it here |
 //! | the limit allows no request yet | the target gets none until it does, or the limit changes |
 //!
 //! A run of a target is identified by name and start time, so a restarted target counts as
@@ -12,7 +13,7 @@
 //! again; the target's own report takes precedence.
 
 use crate::{
-    control::directory::TargetEntry,
+    control::directory::{LimitReport, TargetEntry},
     request_limit::{KnownLimit, RequestLimit, StatedLimit},
     units::TargetName,
 };
@@ -88,6 +89,26 @@
         self.report(target, now_ms).held_back_until_ms = now_ms + for_ms;
     }
 
+    /// Takes over the limit of a target that the directory has; returns whether it was news.
+    pub fn merge_limit(&mut self, target: &TargetEntry, now_ms: u64) -> bool {
+        if !target.limit.supersedes(&self.limit(target)) {
+            return false;
+        }
+        let report = self.report(target, now_ms);
+        report.held_back_until_ms = 0;
+        report.limit.merge(target.limit, now_ms)
+    }
+
+    /// Returns the limit of a target if the directory lacks it.
+    pub fn limit_report(&self, target: &TargetEntry) -> Option<LimitReport> {
+        let limit = self.limit(target);
+        limit.supersedes(&target.limit).then(|| LimitReport {
+            target: target.name.clone(),
+            started_unix_ms: target.started_unix_ms,
+            limit,
+        })
+    }
+
     /// Returns the limit of a target.
     pub fn limit(&self, target: &TargetEntry) -> RequestLimit {
         let report = self.0.get(&key(target));
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -214,6 +214,9 @@
             .map(|(service, (in_progress, waiting))| (service, in_progress + waiting))
             .collect();
         shared.view.report_demand(Demand { services });
+        shared
+            .view
+            .report_limits(attempts.targets.exchange_limits());
         attempts.connections.close_expired();
         attempts.targets.sweep();
     }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock,
     control::{
-        directory::TargetEntry,
+        directory::{LimitReport, TargetEntry},
         shares::{PPM_PER_UNIT, Shares},
     },
     control_view::ControlView,
@@ -421,6 +421,22 @@
         loads.collect()
     }
 
+    /// Takes over the limits of targets that the directory has, and returns those that it lacks.
+    pub fn exchange_limits(&self) -> Vec<LimitReport> {
+        let (view, now_ms) = (self.view.load(), clock::boot_ms());
+        let mut state = self.state();
+        let has_limit = |target: &&TargetEntry| target.limit != RequestLimit::default();
+        for target in view.targets.values().filter(has_limit) {
+            let before = state.availability.limit(target);
+            if state.availability.merge_limit(target, now_ms) {
+                feedback::log_limit(target, before, target.limit, "directory", 0);
+            }
+        }
+        let targets = view.targets.values();
+        let reports = targets.filter_map(|target| state.availability.limit_report(target));
+        reports.collect()
+    }
+
     /// Removes the state of targets and routes that no longer exist.
     pub fn sweep(&self) {
         let view = self.view.load();
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -7,6 +7,7 @@
         directory::{Directory, TargetAnnouncement, TargetEntry, remove_replaced},
         rpc::CachedState,
     },
+    request_limit::RequestLimit,
     units::FencingNumber,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -33,6 +34,7 @@
             slots: 4,
             leaving,
             warming_up: false,
+            limit: RequestLimit::default(),
         },
         sequence,
     }
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -1,12 +1,13 @@
 //! Availability that targets report in their responses, and the `Retry-After` header.
 
 use guavacove::{
-    control::directory::TargetEntry,
+    control::directory::{Directory, LimitReport, TargetAnnouncement, TargetEntry},
     gateway::{
         notices::{Availability, AvailabilityTracker},
         placement::{Exclusions, eligible},
         retry_after::{DEFAULT_WAIT_MS, MAX_WAIT_MS, retry_after_ms},
     },
+    request_limit::{RequestLimit, RequestRate, StatedLimit},
 };
 use hyper::{HeaderMap, header::RETRY_AFTER};
 use std::time::{Duration, SystemTime};
@@ -21,6 +22,7 @@
         slots: 4,
         leaving: false,
         warming_up: false,
+        limit: RequestLimit::default(),
     }
 }
 
@@ -132,3 +134,81 @@
         None
     );
 }
+
+fn limit(version: u64, milli_per_s: Option<u64>) -> RequestLimit {
+    RequestLimit {
+        version,
+        rate: milli_per_s.map(|milli_per_s| RequestRate { milli_per_s }),
+    }
+}
+
+/// Guards against gateways that each have to send a request to a target before they know of its
+/// limit.
+#[test]
+fn a_limit_that_one_gateway_learns_reaches_the_others_through_the_directory() {
+    let mut directory = Directory::default();
+    let announcement = TargetAnnouncement {
+        entry: target("engine-1", 10),
+        sequence: 1,
+    };
+    directory.announce(announcement.clone(), 0);
+    let (mut first, mut second) = <(AvailabilityTracker, AvailabilityTracker)>::default();
+    let stated = StatedLimit::Limited(RequestRate { milli_per_s: 2000 });
+    assert!(first.record_limit(&directory.targets()[0], stated, 10, 20));
+    let report = first.limit_report(&directory.targets()[0]).unwrap();
+    assert!(directory.report_limit(&report));
+    assert!(!directory.report_limit(&report), "reported once");
+    let listed = directory.targets().remove(0);
+    assert_eq!(first.limit_report(&listed), None, "the directory has it");
+    assert!(second.merge_limit(&listed, 30));
+    assert_eq!(second.limit(&listed), limit(0, Some(2000)));
+    // The second gateway gets an answer without a limit to a request sent after that.
+    assert!(second.record_limit(&listed, StatedLimit::Unlimited, 31, 40));
+    assert!(directory.report_limit(&second.limit_report(&listed).unwrap()));
+    let listed = directory.targets().remove(0);
+    assert!(first.merge_limit(&listed, 50));
+    assert_eq!(first.limit(&listed), limit(1, None));
+}
+
+/// Guards against an announcement, a change of leader or a late report that loses or restores a
+/// limit.
+#[test]
+fn the_directory_keeps_the_newest_limit_of_a_run() {
+    let announcement = |started_unix_ms, sequence| TargetAnnouncement {
+        entry: target("engine-1", started_unix_ms),
+        sequence,
+    };
+    let report = |started_unix_ms, limit| LimitReport {
+        target: "engine-1".into(),
+        started_unix_ms,
+        limit,
+    };
+    let mut directory = Directory::default();
+    directory.announce(announcement(10, 1), 0);
+    assert!(directory.report_limit(&report(10, limit(1, Some(2000)))));
+    assert!(!directory.report_limit(&report(10, limit(0, Some(1000)))));
+    directory.announce(announcement(10, 2), 100);
+    assert_eq!(directory.targets()[0].limit, limit(1, Some(2000)));
+    let mut directory = Directory::from_announcements(directory.announcements(), 200);
+    directory.announce(announcement(10, 3), 300);
+    assert_eq!(directory.targets()[0].limit, limit(1, Some(2000)));
+    directory.announce(announcement(11, 1), 400);
+    assert_eq!(directory.targets()[0].limit, limit(0, None), "restarted");
+    assert!(!directory.report_limit(&report(10, limit(2, Some(2000)))));
+}
+
+#[test]
+fn a_target_held_back_by_its_limit_is_available_when_the_limit_is_lifted() {
+    let mut availability = AvailabilityTracker::default();
+    let limited = target("engine-1", 10);
+    let stated = StatedLimit::Limited(RequestRate { milli_per_s: 100 });
+    availability.record_limit(&limited, stated, 0, 100);
+    availability.record_held_back(&limited, 5000, 100);
+    assert_eq!(
+        availability.get(&limited, 5099),
+        Availability::PausedUntil(5100)
+    );
+    assert_eq!(availability.get(&limited, 5100), Availability::Available);
+    availability.record_limit(&limited, StatedLimit::Unlimited, 200, 300);
+    assert_eq!(availability.get(&limited, 300), Availability::Available);
+}
