Ask a target whose limit is nearly nothing every 10 s

A target can lift its limit only in an answer. With 30 s between requests a service whose targets had all stated 0 would have stayed away for half a minute after they recovered. The rule allows 5 requests in 4 s beyond the limit; one in 10 s stays far below. Limits of 0.1 and more are kept as stated.

--- a/src/request_pace.rs
+++ b/src/request_pace.rs
@@ -18,7 +18,7 @@
 /// intervals, and a high limit must not be lost between them.
 const MAX_ACCUMULATED_MS: u64 = 100;
 /// Interval of the requests to a target whose limit allows fewer.
-const PROBE_INTERVAL_MS: u64 = 30_000;
+const PROBE_INTERVAL_MS: u64 = 10_000;
 
 /// What a target's limit currently allows.
 #[derive(Clone, Copy, Debug)]
