--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -249,6 +249,83 @@
     );
 }
 
+/// Guards against local shares that are divided among the gateways that the leader still hears,
+/// while partitioned ones go on with theirs. Three of seven gateways are partitioned; then a
+/// customer exceeds its quota, and the leader is cut off with one more gateway. The next leader
+/// does not know the partitioned gateways.
+#[test]
+fn a_quota_holds_while_gateways_are_partitioned_and_the_leader_changes() {
+    const GATEWAYS: usize = 7;
+    const PARTITIONED: usize = 3;
+    const SLACK: u64 = 12_000;
+    const PARTITION_MS: u64 = START_MS + 4400;
+    const SILENT_MS: u64 = START_MS + 6940;
+    const HOT_MS: u64 = START_MS + 6500;
+    const CUT_OFF_MS: u64 = START_MS + 7500;
+    const ELECTED_MS: u64 = START_MS + 8460;
+    const HEALED_MS: u64 = START_MS + 11_640;
+    let beyond_per_s = SLACK / 2 / (WINDOW_MS / 1000);
+    for renewed_after_ms in [0, 770, 1500] {
+        let customer = CustomerName::from("hot");
+        let mut gateways: Vec<LocalQuotas> =
+            (0..GATEWAYS).map(|_| LocalQuotas::new(SLACK)).collect();
+        let mut demands = DemandTable::new(0, START_MS);
+        let mut accounts = QuotaAccounts::new(beyond_per_s, 0, START_MS);
+        let mut admitted = Vec::new();
+        for now_ms in (START_MS..START_MS + 24_000).step_by(10) {
+            if now_ms == ELECTED_MS {
+                let previous = demands.shares_of(&name(GATEWAYS - 2)).gateways;
+                demands = DemandTable::new(previous, now_ms);
+                accounts = QuotaAccounts::new(beyond_per_s, 0, now_ms);
+            }
+            if now_ms == SILENT_MS {
+                (0..PARTITIONED).for_each(|number| demands.mark_silent(&name(number)));
+            }
+            for (number, quotas) in gateways.iter_mut().enumerate() {
+                let is_partitioned = match number {
+                    0..PARTITIONED => (PARTITION_MS..HEALED_MS).contains(&now_ms),
+                    // Cut off with the first leader.
+                    _ if number == GATEWAYS - 1 => now_ms >= CUT_OFF_MS,
+                    _ => (CUT_OFF_MS..ELECTED_MS + renewed_after_ms).contains(&now_ms),
+                };
+                if !is_partitioned && (now_ms / 10 + number as u64 * 11) % 80 == 0 {
+                    demands.report(name(number), Demand::default(), now_ms);
+                    let shares = demands.shares_of(&name(number));
+                    // A new leader sends no shares before all gateways had time to renew.
+                    if !(ELECTED_MS..ELECTED_MS + 2500).contains(&now_ms) {
+                        quotas.set_gateway_count(shares.gateways, now_ms + LOCAL_SHARE_LEASE_MS);
+                    }
+                }
+                if now_ms < HOT_MS {
+                    continue;
+                }
+                let is_admitted = match is_partitioned {
+                    true => quotas.try_charge(&customer, QUOTA, 100, now_ms).is_ok(),
+                    false => {
+                        let reserved_ppm = demands.reserved_ppm(now_ms);
+                        let charge =
+                            accounts.charge(&customer, QUOTA, 100, 400, reserved_ppm, now_ms);
+                        let is_ample =
+                            matches!(charge, ChargeResult::Charged { is_ample: true, .. });
+                        quotas.record_account_reply(&customer, is_ample, now_ms);
+                        is_charged(charge)
+                    }
+                };
+                if is_admitted {
+                    admitted.push((now_ms, 100));
+                }
+            }
+            demands.expire(now_ms);
+        }
+        let max_units = max_in_any_window(&admitted);
+        let allowed = max_allowed(QUOTA) + SLACK;
+        assert!(
+            max_units <= allowed,
+            "renewed {renewed_after_ms} ms after the election: {max_units}, {allowed} allowed"
+        );
+    }
+}
+
 /// After a power loss of all instances, the accounts of the first leader have filled since its
 /// start, up to a third of the burst. Guards against a leader that starts with full accounts
 /// after an earlier leader may have charged them.
