Divide local shares of quotas among silent gateways too

Cause: the leader told gateways the number that it hears. With three of seven silent, four divided the part that may be charged without the leader among themselves, and the three still used their sevenths. The next leader was told of four gateways and withheld nothing for the others.

Change: shares count all gateways that may use one: known ones, silent ones until their share has expired, and those of the previous leader that have not reported. What the leader withholds is worked out from the same count.

--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -102,7 +102,7 @@
         let changes = self.directory.changes(self.directory_sent.as_ref(), epoch);
         // Until all gateways had time to renew, the previous leader's count is more accurate.
         let gateways = match self.members_complete {
-            true => self.demands.live_gateways(),
+            true => self.demands.share_holders(now_ms),
             false => self.cache.gateways,
         };
         if changes.is_none() && gateways == self.cache.gateways {
@@ -289,7 +289,7 @@
             false => None,
         };
         let shares = is_gateway && self.members_complete;
-        let shares = shares.then(|| self.demands.shares_of(&request.member.name));
+        let shares = shares.then(|| self.demands.shares_of(&request.member.name, self.now_ms()));
         // An agent has the same name as its target.
         let target = TargetName(request.member.name.0.clone());
         let orders = self
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -40,7 +40,8 @@
     /// A gateway's shares.
     #[derive(Default)]
     pub struct Shares {
-        /// Number of gateways; each has the same local share of every quota.
+        /// Number of gateways that may use a local share, whether or not the leader hears them;
+        /// each has the same share of every quota.
         pub gateways: u64,
         /// Its share of the slots, by service.
         pub services: BTreeMap<ServiceName, SlotShare>,
@@ -140,18 +141,31 @@
         self.reports.len() as u64 - self.silent
     }
 
+    /// Number of gateways that may use a local share: those known, and those of the previous leader
+    /// that have not reported yet. A silent gateway counts until its share has expired.
+    pub fn share_holders(&self, now_ms: u64) -> u64 {
+        self.reports.len() as u64 + self.missing(now_ms)
+    }
+
+    /// Number of gateways of the previous leader that may use their local shares and have not
+    /// reported yet.
+    fn missing(&self, now_ms: u64) -> u64 {
+        match now_ms < self.withhold_end_ms {
+            true => self
+                .previous_gateways
+                .saturating_sub(self.reports.len() as u64),
+            false => 0,
+        }
+    }
+
     /// The part of each quota that unreachable gateways may charge locally, in millionths.
     pub fn reserved_ppm(&self, now_ms: u64) -> u64 {
-        let known = self.reports.len() as u64;
-        let missing = match now_ms < self.withhold_end_ms {
-            true => self.previous_gateways.saturating_sub(known),
-            false => 0,
-        };
-        LOCAL_QUOTA_PPM * (self.silent + missing) / (known + missing).max(1)
+        let unreachable = self.silent + self.missing(now_ms);
+        LOCAL_QUOTA_PPM * unreachable / self.share_holders(now_ms).max(1)
     }
 
     /// The shares of a gateway.
-    pub fn shares_of(&self, gateway: &ProcessName) -> Shares {
+    pub fn shares_of(&self, gateway: &ProcessName, now_ms: u64) -> Shares {
         let Some(GatewayReport { demand: own, .. }) = self.reports.get(gateway) else {
             return Shares::default();
         };
@@ -162,7 +176,7 @@
             (service.clone(), SlotShare { ppm, wanted_by_all })
         });
         Shares {
-            gateways,
+            gateways: self.share_holders(now_ms),
             services: services.collect(),
         }
     }
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -102,7 +102,7 @@
             if !is_partitioned && (step + number * 3) % RENEWAL_STEPS == 0 {
                 renewed[number] = step;
                 demands.report(name(number), Demand::default(), now_ms);
-                let shares = demands.shares_of(&name(number));
+                let shares = demands.shares_of(&name(number), now_ms);
                 quotas.set_gateway_count(shares.gateways, now_ms + LOCAL_SHARE_LEASE_MS);
             }
         }
@@ -274,7 +274,7 @@
         let mut admitted = Vec::new();
         for now_ms in (START_MS..START_MS + 24_000).step_by(10) {
             if now_ms == ELECTED_MS {
-                let previous = demands.shares_of(&name(GATEWAYS - 2)).gateways;
+                let previous = demands.shares_of(&name(GATEWAYS - 2), now_ms).gateways;
                 demands = DemandTable::new(previous, now_ms);
                 accounts = QuotaAccounts::new(beyond_per_s, 0, now_ms);
             }
@@ -288,9 +288,9 @@
                     _ if number == GATEWAYS - 1 => now_ms >= CUT_OFF_MS,
                     _ => (CUT_OFF_MS..ELECTED_MS + renewed_after_ms).contains(&now_ms),
                 };
-                if !is_partitioned && (now_ms / 10 + number as u64 * 11) % 80 == 0 {
+                if !is_partitioned && (now_ms / 10 + number as u64 * 11).is_multiple_of(80) {
                     demands.report(name(number), Demand::default(), now_ms);
-                    let shares = demands.shares_of(&name(number));
+                    let shares = demands.shares_of(&name(number), now_ms);
                     // A new leader sends no shares before all gateways had time to renew.
                     if !(ELECTED_MS..ELECTED_MS + 2500).contains(&now_ms) {
                         quotas.set_gateway_count(shares.gateways, now_ms + LOCAL_SHARE_LEASE_MS);
