Draw lots for the limits of targets without an agent while there is no leader

Both plain targets had stated 0 and lifted it; the control group had no leader from then on for 28 s, and without one these targets got nothing, not even the request whose answer would have lifted the limit.

Cause: keeping to limits had made service of plain targets depend on a leader.

Change: a gateway whose charge has no reply draws lots by hash: in each interval of the limit one in twice as many gateways, with nothing that accumulates. No gateway needs to hear of another; only their number is used, and without it none sends. A refused gateway is no longer told to wait longer than 5 s unless the limit itself takes longer.

Evidence: without_a_leader_all_gateways_together_draw_half_of_the_limit plays 1 to 300 gateways with clocks of their own over 400 s: never more than the rule allows in 4 s, and half of the limit in all.

--- a/src/control/target_paces.rs
+++ b/src/control/target_paces.rs
@@ -18,7 +18,7 @@
 };
 use std::collections::BTreeMap;
 
-/// Maximum time that a refused request is told to wait for those refused before it.
+/// Maximum time that a refused request is told to wait, unless the limit alone takes longer.
 const MAX_BACKLOG_MS: u64 = 5000;
 /// Time without requests after which a target is forgotten.
 const RETENTION_MS: u64 = 60_000;
@@ -72,7 +72,8 @@
         match known.pace.reserve(rate, max_wait_ms, now_ms) {
             Ok(after_ms) => allowed(after_ms),
             Err(wait_ms) => {
-                let wait_ms = wait_ms + known.backlog_ms;
+                let longest_ms = wait_ms.max(MAX_BACKLOG_MS);
+                let wait_ms = (wait_ms + known.backlog_ms).min(longest_ms);
                 let interval_ms = RequestPace::interval_ms(rate);
                 known.backlog_ms = (known.backlog_ms + interval_ms).min(MAX_BACKLOG_MS);
                 ChargeResult::Refused { wait_ms }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -55,12 +55,14 @@
 /// `Retry-After` if no target ran the request, for reasons that don't tell how long to wait.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 250;
 
-/// Time for which a target without an agent gets no requests while it states a limit and the
-/// leader, who counts them, does not reply.
+/// Time after which a gateway tries a target without an agent again that states a limit, while the
+/// leader, who counts the requests, does not reply.
 const LEADER_AWAY_HOLD_MS: u64 = 300;
 
 /// State shared by the attempts of all requests.
 pub struct Attempts<D> {
+    /// Name of this gateway.
+    pub name: ProcessName,
     /// Dialect of the headers.
     pub dialect: D,
     /// Targets and the queues for their slots.
@@ -563,7 +565,14 @@
                 }
             }
             Some(ChargeResult::Refused { wait_ms }) => Err(wait_ms),
-            None => Err(LEADER_AWAY_HOLD_MS),
+            None => {
+                let shares = self.view.load().shares.clone();
+                let gateways = shares.map_or(0, |shares| shares.gateways);
+                let may_send = limit
+                    .rate
+                    .is_some_and(|rate| slot.take_uncounted(&self.name, rate, gateways));
+                may_send.then_some(()).ok_or(LEADER_AWAY_HOLD_MS)
+            }
         }
     }
 
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -40,6 +40,8 @@
     limit: KnownLimit,
     /// Time until which its limit allows this gateway no request.
     held_back_until_ms: u64,
+    /// Last interval of its limit in which this gateway sent a request that no one counted.
+    drawn_interval: Option<u64>,
     listed_ms: u64,
 }
 
@@ -115,6 +117,13 @@
         report.map_or_else(RequestLimit::default, |report| report.limit.limit())
     }
 
+    /// Takes the request of an interval of the target's limit that this gateway drew; returns
+    /// `false` if it has been taken.
+    pub fn take_drawn(&mut self, target: &TargetEntry, interval: u64, now_ms: u64) -> bool {
+        let drawn = &mut self.report(target, now_ms).drawn_interval;
+        drawn.replace(interval) != Some(interval)
+    }
+
     /// Returns the availability of a target.
     pub fn get(&self, target: &TargetEntry, now_ms: u64) -> Availability {
         if self.0.is_empty() {
@@ -146,6 +155,7 @@
             paused_until_ms: 0,
             limit: KnownLimit::default(),
             held_back_until_ms: 0,
+            drawn_interval: None,
             listed_ms: now_ms,
         })
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -122,6 +122,7 @@
             settings.admission_port,
         );
         let attempts = Arc::new(Attempts {
+            name: settings.name.clone(),
             dialect,
             targets,
             view: Arc::clone(&view),
--- a/src/gateway/targets/feedback.rs
+++ b/src/gateway/targets/feedback.rs
@@ -1,7 +1,10 @@
 //! Records the result of an attempt: latency, failures and reported availability of its target.
 
 use super::*;
-use crate::request_limit::StatedLimit;
+use crate::{
+    request_limit::{RequestRate, StatedLimit},
+    request_pace::draws_interval,
+};
 
 /// Logs a change of a target's limit. `source` is what the limit is known from, and `age_ms` how
 /// long ago the request was sent whose answer stated it.
@@ -171,6 +174,17 @@
         (self.slot_request.is_none() && limit.rate.is_some()).then_some(limit)
     }
 
+    /// Takes a request to the target while nobody counts those of all gateways; returns whether
+    /// this gateway may send one.
+    pub fn take_uncounted(&self, gateway: &ProcessName, rate: RequestRate, gateways: u64) -> bool {
+        let now_ms = clock::boot_ms();
+        let mut state = self.targets.state();
+        draws_interval(gateway, &self.target.name, rate, gateways, now_ms).is_some_and(|interval| {
+            let availability = &mut state.availability;
+            availability.take_drawn(&self.target, interval, now_ms)
+        })
+    }
+
     /// Returns whether the target accepts new work.
     pub fn accepts_work(&self) -> bool {
         let state = self.targets.state();
--- a/src/request_pace.rs
+++ b/src/request_pace.rs
@@ -1,7 +1,7 @@
 //! Spaces the requests to one target by the limit that it states, without clock or I/O.
 //!
 //! One process counts for all gateways: the target's agent or, for a target without one, the
-//! leader of the control group.
+//! leader of the control group. While there is no leader gateways draw lots ([`draws_interval`]).
 //!
 //! | input | effect |
 //! |---|---|
@@ -10,7 +10,8 @@
 //! | a new pace: the limit, the process or the leadership is new | allows none at first |
 //! | a limit of nearly nothing | allows a request now and then: only an answer can lift a limit |
 
-use crate::request_limit::RequestRate;
+use crate::{request_limit::RequestRate, units::*};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// A millionth of a request is what a thousandth of a request a second allows in a millisecond.
 const MICRO_PER_REQUEST: i64 = 1_000_000;
@@ -92,6 +93,27 @@
     }
 }
 
+/// Part of a limit that all gateways together use while nobody counts: lots may fall together.
+const UNCOUNTED_PERCENT: u64 = 50;
+
+/// Returns the current interval of a target's limit if this gateway draws it: it may then send one
+/// request in it. An interval is the time for which the limit allows one request, by this gateway's
+/// own clock. Each of `gateways` draws one in `gateways` of half of them, whether or not it has
+/// requests, so that nothing accumulates; without their number, none.
+pub fn draws_interval(
+    gateway: &ProcessName,
+    target: &TargetName,
+    rate: RequestRate,
+    gateways: u64,
+    now_ms: u64,
+) -> Option<u64> {
+    let interval = now_ms / RequestPace::interval_ms(rate);
+    let mut hasher = DefaultHasher::new();
+    (gateway, target, interval).hash(&mut hasher);
+    let lots = gateways * 100 / UNCOUNTED_PERCENT;
+    (lots > 0 && hasher.finish().is_multiple_of(lots)).then_some(interval)
+}
+
 fn effective_milli_per_s(rate: RequestRate) -> u64 {
     let probe_milli_per_s = MICRO_PER_REQUEST.unsigned_abs() / PROBE_INTERVAL_MS;
     rate.milli_per_s.max(probe_milli_per_s)
--- a/tests/target_paces.rs
+++ b/tests/target_paces.rs
@@ -3,6 +3,8 @@
 use guavacove::{
     control::{accounts::ChargeResult, target_paces::TargetPaces},
     request_limit::{RequestLimit, RequestRate},
+    request_pace::draws_interval,
+    units::ProcessName,
 };
 use std::collections::BTreeMap;
 
@@ -123,3 +125,52 @@
     paces.give_back(&"plain-1".into(), 1);
     assert_eq!(take(&mut paces), charged(2000));
 }
+
+/// Guards against a service whose targets all state limits and that gets nothing while there is no
+/// leader, and against gateways that together send more than the limit then.
+#[test]
+fn without_a_leader_all_gateways_together_draw_half_of_the_limit() {
+    for gateways in [1, 3, 12, 100, 300] {
+        for milli_per_s in [200, 1000, 7500] {
+            let rate = RequestRate { milli_per_s };
+            let mut sent = Vec::new();
+            for gateway in 0..gateways {
+                let name = ProcessName(format!("gateway-{gateway}"));
+                let mut last = None;
+                // Clocks start at different times.
+                let offset_ms = gateway * 7919;
+                for now_ms in (0..400_000).step_by(20) {
+                    let drawn = draws_interval(
+                        &name,
+                        &"plain-1".into(),
+                        rate,
+                        gateways,
+                        START_MS + offset_ms + now_ms,
+                    );
+                    if drawn.is_some() && drawn != last {
+                        last = drawn;
+                        sent.push(now_ms);
+                    }
+                }
+            }
+            sent.sort_unstable();
+            let in_window = |start: &u64| {
+                let window = *start..start + WINDOW_MS;
+                sent.iter().filter(|at| window.contains(at)).count() as u64
+            };
+            let most = sent.iter().map(in_window).max().unwrap_or(0);
+            let allowed = milli_per_s * WINDOW_MS * 3 / 2_000_000 + 5;
+            let case = format!("{gateways} gateways, {milli_per_s}");
+            assert!(most <= allowed, "{case}: {most} in 4 s, {allowed} allowed");
+            let half = milli_per_s * 400 / 2000;
+            let count = sent.len() as u64;
+            assert!(
+                (half / 2..=half * 3 / 2).contains(&count),
+                "{case}: {count} in 400 s, {half} expected"
+            );
+        }
+    }
+    let rate = RequestRate { milli_per_s: 1000 };
+    let unknown = draws_interval(&"gateway-1".into(), &"plain-1".into(), rate, 0, START_MS);
+    assert_eq!(unknown, None, "the number of gateways is unknown");
+}
