--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::{
     account_link::{AccountLink, Charge},
-    body::{Relay, read_start},
+    body::{self, Relay, read_start},
     connections::{CallError, Connection, ConnectionPool},
     dialect::{ForwardedMetadata, TrafficDialect},
     events,
@@ -29,7 +29,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header};
 use std::{
     collections::BTreeMap,
     pin::pin,
@@ -837,7 +837,7 @@
         if status.is_success() {
             self.record_complete(incoming, &slot);
         }
-        record_response(incoming, &slot, status, progress);
+        record_response(incoming, &slot, status, &parts.headers, progress);
         let mut response = Response::new(Full::new(read));
         *response.status_mut() = status;
         *response.headers_mut() = strip_hop_by_hop(parts.headers);
@@ -900,6 +900,7 @@
     incoming: &IncomingRequest,
     slot: &SlotGuard,
     status: StatusCode,
+    headers: &HeaderMap,
     progress: &Progress,
 ) {
     let took_ms = clock::boot_ms() - incoming.arrived_ms;
@@ -907,7 +908,8 @@
     metrics::gateway_response_completed(&incoming.service, incoming.rank, took_ms);
     tracing::info!(
         request = incoming.id, route = incoming.route.name, target = %slot.target.name,
-        status = status.as_u16(), took_ms = clock::boot_ms() - incoming.arrived_ms,
+        status = status.as_u16(), framing = body::framing(headers),
+        took_ms = clock::boot_ms() - incoming.arrived_ms,
         tries = progress.tried_targets.len(), version = incoming.version.0, "gateway: answered"
     );
 }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -463,7 +463,8 @@
     }
 }
 
-fn framing(headers: &HeaderMap) -> &'static str {
+/// Returns what ends the body of a target's response, for logs.
+pub fn framing(headers: &HeaderMap) -> &'static str {
     match () {
         () if headers.contains_key(header::CONTENT_LENGTH) => "length",
         () if headers.contains_key(header::TRANSFER_ENCODING) => "chunks",
