--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -6,7 +6,11 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
 
 const CALL_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -161,3 +165,108 @@
         self.answer.body = std::mem::take(&mut self.body).into();
     }
 }
+
+/// How a response ended that was read from the socket, without a client that interprets it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RawEnd {
+    /// Its length was reached, or its last chunk came: it claims to be whole.
+    Complete,
+    /// It has neither a length nor chunks, and its connection was closed.
+    Closed,
+    /// The connection was reset, or closed before the length or the last chunk.
+    Broken,
+    /// There was no response.
+    None,
+}
+
+/// A response as it was read from the socket.
+#[derive(Clone, Debug)]
+pub struct RawAnswer {
+    pub head: String,
+    /// The body without the framing of its chunks, as far as it came.
+    pub text: String,
+    pub end: RawEnd,
+}
+
+impl RawAnswer {
+    pub fn status(&self) -> u16 {
+        let status = self.head.split(' ').nth(1);
+        status.and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Sends a request as it stands on a new connection, and reads the response from the socket.
+pub async fn fetch_raw(address: SocketAddr, request: &str) -> RawAnswer {
+    let mut bytes = Vec::new();
+    let reading = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(request.as_bytes()).await.ok()?;
+        loop {
+            match stream.read_buf(&mut bytes).await {
+                Ok(0) => return Some(true),
+                Ok(_) if parse_raw(&bytes, None).end == RawEnd::Complete => return Some(true),
+                Ok(_) => {}
+                Err(_) => return Some(false),
+            }
+        }
+    };
+    let is_closed = timeout(CALL_TIMEOUT, reading).await.ok().flatten();
+    parse_raw(&bytes, is_closed)
+}
+
+/// Reads a response; `is_closed` tells whether its connection was closed or reset, if it ended.
+fn parse_raw(bytes: &[u8], is_closed: Option<bool>) -> RawAnswer {
+    let all = String::from_utf8_lossy(bytes).into_owned();
+    let Some((head, body)) = all.split_once("\r\n\r\n") else {
+        return RawAnswer {
+            head: all,
+            text: String::new(),
+            end: RawEnd::None,
+        };
+    };
+    let lines = head.lines().skip(1).filter_map(|line| line.split_once(':'));
+    let field = |wanted: &str| {
+        let mut fields = lines
+            .clone()
+            .filter(|(name, _)| name.eq_ignore_ascii_case(wanted));
+        fields.next().map(|(_, value)| value.trim().to_string())
+    };
+    let length: Option<usize> = field("content-length").and_then(|value| value.parse().ok());
+    let status = head.split(' ').nth(1).unwrap_or_default();
+    let (text, is_complete) = match length {
+        _ if matches!(status, "204" | "304") => (String::new(), true),
+        _ if field("transfer-encoding").is_some() => decode_chunks(body),
+        Some(length) => (body.chars().take(length).collect(), body.len() >= length),
+        None => (body.to_string(), false),
+    };
+    let is_framed = length.is_some() || field("transfer-encoding").is_some();
+    RawAnswer {
+        head: head.into(),
+        text,
+        end: match (is_complete, is_closed) {
+            (true, _) => RawEnd::Complete,
+            (false, Some(true)) if !is_framed => RawEnd::Closed,
+            (false, _) => RawEnd::Broken,
+        },
+    }
+}
+
+/// Returns the text of the chunks, and whether the last one is among them.
+fn decode_chunks(mut rest: &str) -> (String, bool) {
+    let mut text = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size.split(';').next().unwrap_or_default(), 16);
+        match size {
+            Ok(0) => return (text, after.starts_with("\r\n")),
+            Ok(size) if after.len() >= size + 2 && after.is_char_boundary(size) => {
+                text.push_str(&after[..size]);
+                rest = &after[size + 2..];
+            }
+            _ => {
+                text.push_str(after);
+                return (text, false);
+            }
+        }
+    }
+    (text, false)
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
 
 #[allow(unused_imports)]
 pub use self::{
-    caller::{Answer, Caller, fetch, receive},
+    caller::{Answer, Caller, RawAnswer, RawEnd, fetch, fetch_raw, receive},
     process::{Process, free_address, guavacove, keep_logs_on_failure},
     proxy::Proxy,
     system::{CONSOLE_TOKEN, Control, DOCUMENT, STOP_LIMIT, System, get, get_json},
