Tell a caller only as much about the end of an answer as its target did

What callers saw (ORDER): the stream of an engine that crashed, cut between two events or after its head, ended with a last chunk, as if it were complete; so did calls, with a length.

Cause: an answer with neither a length nor chunks ends with its connection, and a crash ends the connection as well. The gateway took any end but one inside an event for that of the answer, and then wrote a framing of its own. A guard that looks for signs of a fault is not evidence that there was none.

The fix: response_end.rs decides, with a table of all inputs. An answer that ends with its connection is passed on like that, for callers of HTTP/1.1 too. It counts as whole only if its target accepts a new connection; the connection is kept for the next request. Of a target that is gone it is broken: a stream or a safe call goes on elsewhere where its route allows that, else the caller's connection is reset. A leaving target may close its listener: then nothing is claimed. A stream without an event is never whole. An answer that is not known to be whole no longer speaks for its target or for parts of prompts.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::{
     account_link::{AccountLink, Charge},
-    body::{self, Relay, read_start},
+    body::{Relay, UNFRAMED_VERSION, read_start},
     connections::{CallError, Connection, ConnectionPool},
     dialect::{ForwardedMetadata, TrafficDialect},
     events,
@@ -23,13 +23,14 @@
     document::{QuotaPolicy, RetryPolicy},
     entry::refusal::Refusal,
     metrics,
+    response_end::{self, ContentEnd, EndVerdict, Framing, TargetAfter},
     units::*,
     verdict::{Reason, Verdict},
 };
 use bytes::Bytes;
 use futures::FutureExt;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header};
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use std::{
     collections::BTreeMap,
     pin::pin,
@@ -90,7 +91,7 @@
 
 /// Response to the caller.
 pub enum GatewayResponse<D> {
-    /// The complete response.
+    /// The complete response; it ends with its connection if it has [`UNFRAMED_VERSION`].
     Buffered(Response<Full<Bytes>>),
     /// The head of the response and a relay for its body.
     Streaming(Response<()>, Box<Relay<D>>),
@@ -806,6 +807,17 @@
                 return Err(Refusal::may_have_run(Reason::Expired, message));
             }
         };
+        let framing = Framing::of(&incoming.method, status, &parts.headers);
+        let verdict = match is_whole {
+            true => self.judge_end(&slot, framing, ContentEnd::NotEvents).await,
+            false => EndVerdict::Unproven,
+        };
+        if let EndVerdict::Broken(error) = verdict {
+            slot.record_failure(&incoming.id, error);
+            let message = format!("the answer broke off: {error}");
+            let refusal = Refusal::may_have_run(Reason::TargetFailed, message);
+            return self.check_retry(incoming, progress, refusal).map(|()| None);
+        }
         let connection = match is_whole {
             true => {
                 self.connections.release(&slot.target, connection);
@@ -834,16 +846,35 @@
             let response = self.relay(incoming, progress, target_response, read);
             return Ok(Some(response));
         }
-        if status.is_success() {
+        let is_known_whole = verdict == EndVerdict::Whole;
+        if status.is_success() && is_known_whole {
             self.record_complete(incoming, &slot);
         }
-        record_response(incoming, &slot, status, &parts.headers, progress);
+        record_response(incoming, &slot, status, framing, is_known_whole, progress);
         let mut response = Response::new(Full::new(read));
         *response.status_mut() = status;
         *response.headers_mut() = strip_hop_by_hop(parts.headers);
+        if framing == Framing::Connection {
+            *response.version_mut() = UNFRAMED_VERSION;
+        }
         Ok(Some(GatewayResponse::Buffered(response)))
     }
 
+    /// Returns whether a response that has ended is whole; asks its target for a connection if that
+    /// matters.
+    pub async fn judge_end(
+        &self,
+        slot: &SlotGuard,
+        framing: Framing,
+        content: ContentEnd,
+    ) -> EndVerdict {
+        let target = match response_end::depends_on_target(framing, content) {
+            true => slot.target_after(self.connections.check_target(&slot.target).await),
+            false => TargetAfter::Unknown,
+        };
+        response_end::judge(framing, content, target)
+    }
+
     /// Passes a response on as it arrives, after the part of its body that was read before.
     fn relay(
         self: &Arc<Self>,
@@ -900,7 +931,8 @@
     incoming: &IncomingRequest,
     slot: &SlotGuard,
     status: StatusCode,
-    headers: &HeaderMap,
+    framing: Framing,
+    is_whole: bool,
     progress: &Progress,
 ) {
     let took_ms = clock::boot_ms() - incoming.arrived_ms;
@@ -908,7 +940,7 @@
     metrics::gateway_response_completed(&incoming.service, incoming.rank, took_ms);
     tracing::info!(
         request = incoming.id, route = incoming.route.name, target = %slot.target.name,
-        status = status.as_u16(), framing = body::framing(headers),
+        status = status.as_u16(), framing = %framing, is_whole,
         took_ms = clock::boot_ms() - incoming.arrived_ms,
         tries = progress.tried_targets.len(), version = incoming.version.0, "gateway: answered"
     );
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -9,12 +9,17 @@
     incoming_request::{IncomingRequest, strip_hop_by_hop},
     targets::SlotGuard,
 };
-use crate::{clock, document::RetryPolicy, metrics};
+use crate::{
+    clock,
+    document::RetryPolicy,
+    metrics,
+    response_end::{ContentEnd, EndVerdict, Framing},
+};
 use bytes::{Bytes, BytesMut};
 use futures::{FutureExt, Stream};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{
-    HeaderMap, Response,
+    Response, Version,
     body::{Body, Frame, Incoming, SizeHint},
     header,
 };
@@ -29,6 +34,9 @@
 
 /// Silence timeout of a resumable stream, as a multiple of the route's pause limit.
 const SILENCE_TIMEOUT_PAUSES: u64 = 3;
+/// Version of a response that ends with its connection: the library writes neither a length nor
+/// chunks for this one only.
+pub const UNFRAMED_VERSION: Version = Version::HTTP_10;
 /// Minimum silence timeout of a resumable stream.
 const MIN_SILENCE_TIMEOUT_MS: u64 = 1000;
 
@@ -60,7 +68,8 @@
 /// Result of the next read from a target's response.
 enum BodyRead {
     Bytes(Bytes),
-    End,
+    /// The response ended, and its content there.
+    End(ContentEnd),
     /// The target sent nothing for this long.
     Silent(u64),
     Failed(BreakCause),
@@ -93,8 +102,10 @@
     target_bytes: u64,
     /// Whether the present target sent an event.
     target_has_event: bool,
-    /// What ends the target's response: its length, the last chunk or the end of the connection.
-    framing: &'static str,
+    /// What ends the response of the present target.
+    framing: Framing,
+    /// Whether the caller's response ends with its connection, too.
+    is_unframed: bool,
     ended: bool,
 }
 
@@ -113,8 +124,12 @@
             connection,
             slot,
         } = target_response;
-        let framing = framing(response.headers());
+        let framing = Framing::of(&incoming.method, response.status(), response.headers());
+        let is_unframed = framing == Framing::Connection;
         let (mut parts, body) = response.into_parts();
+        if is_unframed {
+            parts.version = UNFRAMED_VERSION;
+        }
         parts.headers = strip_hop_by_hop(parts.headers);
         let has_events = incoming.route.streams && events::is_event_stream(&parts.headers);
         let resumable = has_events && incoming.route.retry == RetryPolicy::Resumable;
@@ -151,6 +166,7 @@
             target_bytes: 0,
             target_has_event: false,
             framing,
+            is_unframed,
             ended: false,
         };
         (Response::from_parts(parts, ()), relay)
@@ -196,10 +212,20 @@
                         false => continue,
                     }
                 }
-                BodyRead::End => {
-                    self.finish();
-                    return None;
-                }
+                BodyRead::End(content) => match self.judge_end(content).await {
+                    EndVerdict::Whole => {
+                        self.finish(true);
+                        return None;
+                    }
+                    EndVerdict::Unproven if self.is_unframed => {
+                        self.finish(false);
+                        return None;
+                    }
+                    EndVerdict::Unproven => {
+                        BreakCause::Broken("connection closed, target not reached".into())
+                    }
+                    EndVerdict::Broken(why) => BreakCause::Broken(why.into()),
+                },
                 BodyRead::Silent(silent_ms) => BreakCause::Silent(silent_ms),
                 BodyRead::Failed(cause) => cause,
             };
@@ -211,6 +237,19 @@
         }
     }
 
+    /// Returns whether the response of the present target is whole.
+    async fn judge_end(&self, content: ContentEnd) -> EndVerdict {
+        let content = match content {
+            // Its caller resumed it, perhaps after the last event.
+            ContentEnd::BeforeFirstEvent if self.incoming.metadata.resume_after.is_some() => {
+                ContentEnd::AfterEvent
+            }
+            content => content,
+        };
+        let (attempts, slot) = (&self.attempts, &self.slot);
+        attempts.judge_end(slot, self.framing, content).await
+    }
+
     fn record_sent(&mut self, bytes: u64) {
         self.bytes += bytes;
         let now_ms = clock::boot_ms();
@@ -369,7 +408,7 @@
             slot,
         } = reply;
         self.earlier_units = self.progress.done_units;
-        self.framing = framing(response.headers());
+        self.framing = Framing::of(&self.incoming.method, response.status(), response.headers());
         self.head_ms = clock::boot_ms();
         self.target_bytes = 0;
         self.target_has_event = false;
@@ -378,10 +417,14 @@
         self.slot = slot;
     }
 
-    fn finish(&mut self) {
+    /// Ends the response. One that is not known to be whole says nothing about its target and
+    /// its request.
+    fn finish(&mut self, is_whole: bool) {
         self.ended = true;
-        self.slot.record_completion();
-        self.attempts.record_complete(&self.incoming, &self.slot);
+        if is_whole {
+            self.slot.record_completion();
+            self.attempts.record_complete(&self.incoming, &self.slot);
+        }
         let took_ms = clock::boot_ms() - self.incoming.arrived_ms;
         metrics::gateway_response_completed(&self.incoming.service, self.incoming.rank, took_ms);
         if let Some(connection) = self.connection.take() {
@@ -392,7 +435,7 @@
         tracing::info!(
             request = self.incoming.id, route = self.incoming.route.name,
             target = %self.slot.target.name, bytes = self.bytes,
-            events = self.events.as_ref().map(EventSplitter::count), framing = self.framing, pause_ms = self.longest_pause_ms,
+            events = self.events.as_ref().map(EventSplitter::count), framing = %self.framing, is_whole, pause_ms = self.longest_pause_ms,
             took_ms = clock::boot_ms() - self.incoming.arrived_ms, "gateway: stream ends"
         );
     }
@@ -402,7 +445,7 @@
         metrics::gateway_stream_aborted(&self.incoming.service, cause.label());
         tracing::warn!(
             request = self.incoming.id, target = %self.slot.target.name, bytes = self.bytes,
-            error = %cause, verdict = "may-have-run", framing = self.framing,
+            error = %cause, verdict = "may-have-run", framing = %self.framing,
             left_ms = self.incoming.left_ms(), version = self.incoming.version.0,
             took_ms = clock::boot_ms() - self.incoming.arrived_ms, "gateway: stream broke off"
         );
@@ -419,15 +462,19 @@
     match frame {
         Some(Ok(frame)) => BodyRead::Bytes(frame.into_data().unwrap_or_default()),
         Some(Err(error)) => broken(&error.to_string()),
-        None if events.is_some_and(EventSplitter::is_partial)
-            || boundary.is_some_and(EventBoundary::is_inside_event) =>
-        {
-            broken("stream ended inside an event")
-        }
-        None if events.is_some_and(EventSplitter::is_resumption_unproved) => {
-            broken("stream ended where it was resumed, before an event")
-        }
-        None => BodyRead::End,
+        None => BodyRead::End(content_end(events, boundary)),
+    }
+}
+
+fn content_end(events: Option<&EventSplitter>, boundary: Option<&EventBoundary>) -> ContentEnd {
+    match (events, boundary) {
+        (Some(events), _) if events.is_partial() => ContentEnd::InsideEvent,
+        (Some(events), _) if events.is_resumption_unproved() => ContentEnd::BeforeResumedEvent,
+        (Some(events), _) if events.is_unbegun() => ContentEnd::BeforeFirstEvent,
+        (_, Some(boundary)) if boundary.is_inside_event() => ContentEnd::InsideEvent,
+        (_, Some(boundary)) if boundary.is_unbegun() => ContentEnd::BeforeFirstEvent,
+        (None, None) => ContentEnd::NotEvents,
+        _ => ContentEnd::AfterEvent,
     }
 }
 
@@ -439,7 +486,11 @@
 
 impl SilentOutput for SilentRead {
     fn goes_on<A: Fn(&Response<Incoming>) -> bool>(&self, _accepts: &A) -> bool {
-        !matches!(self.read, BodyRead::Failed(_))
+        !matches!(
+            self.read,
+            BodyRead::Failed(_)
+                | BodyRead::End(ContentEnd::InsideEvent | ContentEnd::BeforeResumedEvent)
+        )
     }
 }
 
@@ -463,15 +514,6 @@
     }
 }
 
-/// Returns what ends the body of a target's response, for logs.
-pub fn framing(headers: &HeaderMap) -> &'static str {
-    match () {
-        () if headers.contains_key(header::CONTENT_LENGTH) => "length",
-        () if headers.contains_key(header::TRANSFER_ENCODING) => "chunks",
-        () => "connection",
-    }
-}
-
 /// Reads a body until it ends or exceeds the limit; returns what was read, and whether that is all.
 ///
 /// # Errors
@@ -494,6 +536,8 @@
 pub enum ResponseBody<S> {
     /// Complete body.
     Buffered(Full<Bytes>),
+    /// Body that ends with its connection.
+    Unframed(Full<Bytes>),
     /// Body relayed from a target.
     Streaming(StreamBody<Pin<Box<S>>>),
 }
@@ -510,7 +554,7 @@
         context: &mut Context,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match self.get_mut() {
-            Self::Buffered(body) => {
+            Self::Buffered(body) | Self::Unframed(body) => {
                 let frame = Pin::new(body).poll_frame(context);
                 frame.map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
             }
@@ -521,6 +565,8 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(body) => body.is_end_stream(),
+            // The library would state the length of a body that is known to be empty.
+            Self::Unframed(_) => false,
             Self::Streaming(body) => body.is_end_stream(),
         }
     }
@@ -528,6 +574,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(body) => body.size_hint(),
+            Self::Unframed(_) => SizeHint::default(),
             Self::Streaming(body) => Body::size_hint(body),
         }
     }
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     control::directory::TargetEntry,
+    response_end::TargetAfter,
     units::TargetName,
     verdict::{Reason, Verdict},
 };
@@ -110,6 +111,26 @@
         }
     }
 
+    /// Asks a target for a new connection after one that it closed, and keeps the new one.
+    pub async fn check_target(&self, target: &TargetEntry) -> TargetAfter {
+        match open_stream(target.address).await {
+            Ok(stream) => {
+                match handshake(stream).await {
+                    Ok(connection) => self.keep(target, connection),
+                    Err(error) => {
+                        tracing::debug!(target = %target.name, %error, "gateway: connection not kept");
+                    }
+                }
+                TargetAfter::Accepts
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => TargetAfter::Gone,
+            Err(error) => {
+                tracing::info!(target = %target.name, %error, "gateway: target not reached after its response");
+                TargetAfter::Unknown
+            }
+        }
+    }
+
     /// Like [`Self::call`], on a connection that stands.
     ///
     /// # Errors
@@ -154,10 +175,14 @@
 
     /// Returns a connection to the pool after its response has been read completely.
     pub fn release(&self, target: &TargetEntry, mut connection: Connection) {
+        connection.last_used = Instant::now();
+        connection.is_reused = true;
+        self.keep(target, connection);
+    }
+
+    fn keep(&self, target: &TargetEntry, connection: Connection) {
         let is_kept = connection.idle_timeout_ms > 0 && !self.is_reuse_suspended(target);
         if is_kept && !connection.sender.is_closed() {
-            connection.last_used = Instant::now();
-            connection.is_reused = true;
             self.idle().entry(key(target)).or_default().push(connection);
         }
     }
@@ -236,26 +261,32 @@
     matches!(result, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+    let connect_attempt = TcpStream::connect(address);
+    let result = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connect_attempt).await;
+    result.unwrap_or_else(|_| {
+        let message = format!("no connection within {CONNECT_TIMEOUT_MS} ms");
+        Err(io::Error::new(io::ErrorKind::TimedOut, message))
+    })
+}
+
 async fn connect(target: &TargetEntry) -> Result<Connection, CallError> {
-    let not_run = |error: String| CallError {
+    let stream = open_stream(target.address).await.map_err(not_connected)?;
+    handshake(stream).await
+}
+
+fn not_connected(error: io::Error) -> CallError {
+    CallError {
         verdict: Verdict::NotRun,
         reason: Reason::LinkLost,
-        error,
-    };
-    let connect_attempt = TcpStream::connect(target.address);
-    let result = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connect_attempt).await;
-    let stream = match result {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_run(format!("cannot connect: {error}"))),
-        Err(_) => {
-            return Err(not_run(format!(
-                "no connection within {CONNECT_TIMEOUT_MS} ms"
-            )));
-        }
-    };
+        error: format!("cannot connect: {error}"),
+    }
+}
+
+async fn handshake(stream: TcpStream) -> Result<Connection, CallError> {
     configure_socket(&stream);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|error| not_run(error.to_string()))?;
+    let (sender, connection) = handshake.map_err(|error| not_connected(io::Error::other(error)))?;
     let driver = tokio::spawn(async move {
         // An error is reported by the call that fails because of it.
         let _ = connection.await;
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -103,6 +103,7 @@
     partial: BytesMut,
     position: Position,
     count: u64,
+    has_events: bool,
     fault: Option<EventFault>,
 }
 
@@ -148,6 +149,7 @@
     fn accept(&mut self, text: &[u8]) -> Result<(), EventFault> {
         let event = read_event(text).ok_or(EventFault::NotAnEvent)?;
         self.position = self.position.after(event)?;
+        self.has_events = true;
         self.count += u64::from(event.id.is_some());
         Ok(())
     }
@@ -157,6 +159,11 @@
         self.fault
     }
 
+    /// Returns whether no event has been returned.
+    pub fn is_unbegun(&self) -> bool {
+        !self.has_events
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn is_partial(&self) -> bool {
         !self.partial.is_empty()
@@ -246,6 +253,11 @@
         }
     }
 
+    /// Returns whether no bytes have been recorded.
+    pub fn is_unbegun(&self) -> bool {
+        !self.is_begun
+    }
+
     /// Returns whether the last event is incomplete.
     pub fn is_inside_event(&self) -> bool {
         let is_complete = matches!(self.tail, [_, b'\n', b'\n'] | [b'\n', b'\r', b'\n']);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,7 +3,7 @@
 use super::{
     account_link::AccountLink,
     attempts::{Attempts, GatewayResponse},
-    body::ResponseBody,
+    body::{ResponseBody, UNFRAMED_VERSION},
     caller_stream::CallerStream,
     connections::{self, ConnectionPool},
     dialect::TrafficDialect,
@@ -306,14 +306,20 @@
         let for_service = Arc::clone(&last_answer);
         let limits = shared.view.load().policy.caller_limits;
         let for_connection = Arc::clone(&shared);
-        // Whether the end of the connection is the only sign of the end of a response.
-        let (lacks_chunks, is_cut) = (Arc::new(AtomicBool::new(false)), Arc::default());
-        let (for_version, for_stream) = (Arc::clone(&lacks_chunks), Arc::clone(&is_cut));
+        // Whether the end of the connection is the only sign of the end of the last response.
+        let (is_unframed, is_cut) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let (for_response, for_stream) = (Arc::clone(&is_unframed), Arc::clone(&is_cut));
         let service = service_fn(move |request: Request<Incoming>| {
             let shared = Arc::clone(&for_connection);
             let last_answer = Arc::clone(&for_service);
-            for_version.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
-            async move { Ok::<_, Infallible>(shared.handle(request, &last_answer).await) }
+            let is_unframed = Arc::clone(&for_response);
+            let lacks_chunks = request.version() < Version::HTTP_11;
+            async move {
+                let response = shared.handle(request, &last_answer).await;
+                let ends_with_connection = response.version() == UNFRAMED_VERSION;
+                is_unframed.store(lacks_chunks || ends_with_connection, Ordering::Relaxed);
+                Ok::<_, Infallible>(response)
+            }
         });
         // The library's header timeout also covers the idle time between requests.
         let header_timeout_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
@@ -328,7 +334,7 @@
             let mut served = pin!(served);
             // The caller disconnected or sent an invalid request, or its response was cut.
             if let Err(error) = served.as_mut().await {
-                let resets = error.is_user() && lacks_chunks.load(Ordering::Relaxed);
+                let resets = error.is_user() && is_unframed.load(Ordering::Relaxed);
                 // The connection is closed when `served` is dropped.
                 is_cut.store(resets, Ordering::Relaxed);
                 log_connection_failure(&error, caller, &last_answer);
@@ -397,7 +403,10 @@
             Ok(GatewayResponse::Buffered(response)) => {
                 let answer = Some((id, clock::boot_ms()));
                 *last_answer.lock().expect("no holder panics") = answer;
-                response.map(ResponseBody::Buffered)
+                match response.version() == UNFRAMED_VERSION {
+                    true => response.map(ResponseBody::Unframed),
+                    false => response.map(ResponseBody::Buffered),
+                }
             }
             Ok(GatewayResponse::Streaming(head, relay)) => head
                 .map(|()| ResponseBody::Streaming(StreamBody::new(Box::pin(relay.into_stream())))),
@@ -414,7 +423,7 @@
                 refusal_response::build(&refusal).map(ResponseBody::Buffered)
             }
         };
-        if self.stopping.load(Ordering::Relaxed) {
+        if self.stopping.load(Ordering::Relaxed) || response.version() == UNFRAMED_VERSION {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/src/gateway/targets/feedback.rs
+++ b/src/gateway/targets/feedback.rs
@@ -5,6 +5,7 @@
     gateway::incoming_request::IncomingRequest,
     request_limit::{RequestRate, StatedLimit},
     request_pace::draws_interval,
+    response_end::TargetAfter,
     target_pace::DEFAULT_UNIT_MICROS,
 };
 
@@ -226,6 +227,21 @@
         self.targets.accepts_work(&state, &self.target, now_ms)
     }
 
+    /// Returns what is known of this run of the target after it closed a connection. `asked` is
+    /// the result of asking for a new one.
+    pub fn target_after(&self, asked: TargetAfter) -> TargetAfter {
+        let (view, state) = (self.targets.view.load(), self.targets.state());
+        let listed = view.targets.get(&self.target.name);
+        let is_newer = |listed: &TargetEntry| listed.started_unix_ms > self.target.started_unix_ms;
+        let availability = state.availability.get(&self.target, clock::boot_ms());
+        let is_leaving =
+            availability == Availability::Draining || listed.is_none_or(|listed| listed.leaving);
+        match listed.is_some_and(is_newer) {
+            true => TargetAfter::Gone,
+            false => asked.of_leaving(is_leaving),
+        }
+    }
+
     /// Gives the slot up, as the target's limit allows this gateway no request for `for_ms`.
     pub fn hold_back(mut self, request: &str, for_ms: u64) {
         let now_ms = clock::boot_ms();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod metrics;
 pub mod request_limit;
 pub mod request_pace;
+pub mod response_end;
 pub mod rounding;
 pub mod settings;
 pub mod signals;
--- /dev/null
+++ b/tests/response_end.rs
@@ -0,0 +1,114 @@
+//! Whether a response that has ended is whole.
+
+use guavacove::response_end::{
+    ContentEnd, EndVerdict, Framing, TargetAfter, depends_on_target, judge,
+};
+use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
+
+#[test]
+fn a_response_is_whole_only_if_its_framing_or_its_target_shows_it() {
+    use ContentEnd::{AfterEvent, BeforeFirstEvent, BeforeResumedEvent, InsideEvent, NotEvents};
+    use Framing::{Chunks, Connection, Length, NoBody};
+    use TargetAfter::{Accepts, Gone, Unknown};
+    // 'w': whole, 'u': unproven, 'b': broken, for a target that accepts, is gone, is unknown.
+    let cases = [
+        (NoBody, NotEvents, "www"),
+        (Length, NotEvents, "www"),
+        (Chunks, NotEvents, "www"),
+        (Connection, NotEvents, "wbu"),
+        (Length, BeforeFirstEvent, "www"),
+        (Chunks, BeforeFirstEvent, "www"),
+        (Connection, BeforeFirstEvent, "bbb"),
+        (Length, BeforeResumedEvent, "bbb"),
+        (Chunks, BeforeResumedEvent, "bbb"),
+        (Connection, BeforeResumedEvent, "bbb"),
+        (Length, AfterEvent, "www"),
+        (Chunks, AfterEvent, "www"),
+        (Connection, AfterEvent, "wbu"),
+        (Length, InsideEvent, "bbb"),
+        (Chunks, InsideEvent, "bbb"),
+        (Connection, InsideEvent, "bbb"),
+    ];
+    for (framing, content, expected) in cases {
+        let verdicts: Vec<EndVerdict> = [Accepts, Gone, Unknown]
+            .map(|target| judge(framing, content, target))
+            .to_vec();
+        let letters = verdicts.iter().map(|verdict| match verdict {
+            EndVerdict::Whole => 'w',
+            EndVerdict::Unproven => 'u',
+            EndVerdict::Broken(_) => 'b',
+        });
+        let letters: String = letters.collect();
+        assert_eq!(letters, expected, "{framing} {content:?}");
+        let differs = verdicts.iter().any(|verdict| *verdict != verdicts[0]);
+        assert_eq!(depends_on_target(framing, content), differs);
+    }
+}
+
+#[test]
+fn a_leaving_target_that_refuses_connections_has_not_crashed() {
+    use TargetAfter::{Accepts, Gone, Unknown};
+    for (known, is_leaving, expected) in [
+        (Accepts, false, Accepts),
+        (Accepts, true, Accepts),
+        (Gone, false, Gone),
+        (Gone, true, Unknown),
+        (Unknown, false, Unknown),
+        (Unknown, true, Unknown),
+    ] {
+        assert_eq!(known.of_leaving(is_leaving), expected);
+    }
+}
+
+#[test]
+fn the_head_tells_what_ends_the_body() {
+    let cases: [(Method, u16, &[(&str, &str)], Framing); 10] = [
+        (Method::POST, 200, &[], Framing::Connection),
+        (Method::POST, 500, &[], Framing::Connection),
+        (
+            Method::POST,
+            200,
+            &[("content-length", "7")],
+            Framing::Length,
+        ),
+        (
+            Method::POST,
+            200,
+            &[("transfer-encoding", "chunked")],
+            Framing::Chunks,
+        ),
+        (
+            Method::POST,
+            200,
+            &[("transfer-encoding", "gzip, Chunked")],
+            Framing::Chunks,
+        ),
+        (
+            Method::POST,
+            200,
+            &[("transfer-encoding", "gzip")],
+            Framing::Connection,
+        ),
+        (
+            Method::POST,
+            200,
+            &[("transfer-encoding", "chunked"), ("content-length", "7")],
+            Framing::Chunks,
+        ),
+        (Method::HEAD, 200, &[], Framing::NoBody),
+        (Method::GET, 204, &[], Framing::NoBody),
+        (Method::GET, 304, &[], Framing::NoBody),
+    ];
+    for (method, status, fields, expected) in cases {
+        let mut headers = HeaderMap::new();
+        for (name, value) in fields {
+            headers.insert(name.parse::<HeaderName>().unwrap(), value.parse().unwrap());
+        }
+        let status = StatusCode::from_u16(status).unwrap();
+        assert_eq!(
+            Framing::of(&method, status, &headers),
+            expected,
+            "{method} {status} {fields:?}"
+        );
+    }
+}
