Tell callers of entries only as much about the end of an answer as the target did

The same cause as in the gateway, on the path of entries and agents. An agent took the end of a plain target's connection for the end of its answer, also inside an event, and told the entry that it was complete; the entry then wrote a length or a last chunk. A stream that broke off ended with an error event and then a last chunk, framed as complete, and with an event in progress that the empty lines before the error made look whole.

The agent decides with response_end.rs and asks the target for a connection. It names an answer without framing by `connection: close` in its head, and one that is not known to be whole by Failed with the verdict Ran; an older entry treats that as broken. Entries pass such answers on without framing. Broken streams end with an error after the error event, which is left out inside an event; the connection is reset if nothing else would show the end (caller_stream.rs, now for both servers). An answer that is not known to be whole is not recorded for repeats.

--- a/src/agent/dispatcher/runs.rs
+++ b/src/agent/dispatcher/runs.rs
@@ -67,7 +67,15 @@
         let message = call.in_scope(|| target::build_request(request, address, &head));
         let outcome = match message {
             Some(message) => {
-                let run = target::run(&announcement, request, message, &head, &response);
+                let is_leaving = || self.is_target_leaving();
+                let run = target::run(
+                    &announcement,
+                    request,
+                    message,
+                    &head,
+                    &response,
+                    is_leaving,
+                );
                 let outcome = run.instrument(call).await;
                 if outcome == Outcome::NotRun {
                     self.mark_unreachable();
--- a/src/agent/response.rs
+++ b/src/agent/response.rs
@@ -26,6 +26,8 @@
         /// The CRC-32 of its bytes.
         crc: u32,
     },
+    /// It ended with the connection to its target, and it is not known whether it is complete.
+    Unproven,
     /// It failed before it was complete.
     Failed(Verdict, Reason),
 }
@@ -254,6 +256,11 @@
                     length: state.length,
                     crc,
                 },
+                Ending::Unproven => FromAgent::Failed {
+                    request,
+                    verdict: Verdict::Ran,
+                    reason: Reason::TargetFailed,
+                },
                 Ending::Failed(verdict, reason) => FromAgent::Failed {
                     request,
                     verdict,
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -3,6 +3,8 @@
 use super::{Announcement, LoadReport, response::BufferedResponse, response::Ending};
 use crate::{
     control::command::{Outcome, RecordedResponse},
+    gateway::events::EventBoundary,
+    response_end::{self, ContentEnd, EndVerdict, Framing, TargetAfter},
     telemetry,
     units::RequestId,
     verdict::{Reason, Verdict},
@@ -12,7 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 use tokio::{
     net::TcpStream,
     time::{sleep, timeout},
@@ -130,6 +132,7 @@
 /// Progress of receiving a response body.
 struct BodyProgress {
     crc: crc32fast::Hasher,
+    boundary: EventBoundary,
     length: u64,
     tail: Vec<u8>,
     recorded: Vec<u8>,
@@ -138,6 +141,7 @@
 impl BodyProgress {
     fn append(&mut self, bytes: &[u8], record_outcome: bool) {
         self.crc.update(bytes);
+        self.boundary.push(bytes);
         self.length += bytes.len() as u64;
         self.tail
             .extend_from_slice(&bytes[bytes.len().saturating_sub(TAIL_BYTES)..]);
@@ -148,6 +152,15 @@
         }
     }
 
+    fn content_end(&self, is_stream: bool) -> ContentEnd {
+        match is_stream {
+            false => ContentEnd::NotEvents,
+            true if self.boundary.is_inside_event() => ContentEnd::InsideEvent,
+            true if self.boundary.is_unbegun() => ContentEnd::BeforeFirstEvent,
+            true => ContentEnd::AfterEvent,
+        }
+    }
+
     fn has_done_mark(&self) -> bool {
         self.tail
             .windows(DONE_MARK.len())
@@ -157,7 +170,8 @@
 
 /// How reading one response ended.
 enum ReadResult {
-    Complete,
+    /// By its framing, or with its connection.
+    Ended,
     Broken,
     /// No data arrived within [`ENGINE_SILENCE_MS`].
     Silent,
@@ -198,17 +212,20 @@
     }
 }
 
-/// Runs a request at the target, forwards the response and returns the outcome.
+/// Runs a request at the target, forwards the response and returns the outcome. `is_leaving` tells
+/// whether the target is draining at the time of the call.
 pub async fn run(
     announcement: &Announcement,
     request: RequestId,
     message: Request<Full<Bytes>>,
     head: &DispatchedRequest,
     buffer: &BufferedResponse,
+    is_leaving: impl Fn() -> bool,
 ) -> Outcome {
     // A run whose outcome is recorded is not cancelled by the caller, and silence in its response
     // body is tolerated.
     let record_outcome = head.keep_outcome;
+    let method = message.method().clone();
     let mut response =
         match send_with_resume(announcement, request, message, buffer, record_outcome).await {
             SendResult::Answered(response) => response,
@@ -226,13 +243,19 @@
             }
         };
     let status = response.status().as_u16();
+    let mut framing = Framing::of(&method, response.status(), response.headers());
     let headers = end_to_end_headers(response.headers());
     let is_stream = headers
         .iter()
         .any(|(name, value)| name == "content-type" && value.starts_with(b"text/event-stream"));
-    buffer.set_head(status, headers.clone());
+    let mut passed_on = headers.clone();
+    if framing == Framing::Connection {
+        passed_on.push(("connection".into(), Bytes::from_static(b"close")));
+    }
+    buffer.set_head(status, passed_on);
     let mut body = BodyProgress {
         crc: crc32fast::Hasher::new(),
+        boundary: EventBoundary::default(),
         length: 0,
         tail: Vec::new(),
         recorded: Vec::new(),
@@ -248,10 +271,25 @@
             tolerate_silence,
         )
         .await;
-        let is_complete = matches!(read, ReadResult::Complete)
-            && (!announcement.is_engine || !is_stream || body.has_done_mark());
+        let verdict = match read {
+            ReadResult::Ended if announcement.is_engine && is_stream && body.has_done_mark() => {
+                EndVerdict::Whole
+            }
+            ReadResult::Ended if announcement.is_engine && is_stream => {
+                EndVerdict::Broken("stream ended before its last event")
+            }
+            ReadResult::Ended => {
+                let content = body.content_end(is_stream);
+                judge_end(request, announcement, framing, content, &is_leaving).await
+            }
+            _ => EndVerdict::Broken("not ended"),
+        };
         match read {
-            _ if is_complete => break,
+            ReadResult::Ended if verdict == EndVerdict::Whole => break,
+            ReadResult::Ended if verdict == EndVerdict::Unproven => {
+                buffer.end(Ending::Unproven);
+                return Outcome::AnsweredLong;
+            }
             ReadResult::Cancelled => {
                 cancel(announcement, request);
                 buffer.end(Ending::Failed(Verdict::MayHaveRun, Reason::TargetFailed));
@@ -259,14 +297,20 @@
             }
             ReadResult::Silent if failures < MAX_FAILURES => {
                 match resume(announcement, request, body.length).await {
-                    Ok(resumed) => (response, failures) = (resumed, 0),
+                    Ok(resumed) => {
+                        framing = framing_of(&resumed);
+                        (response, failures) = (resumed, 0);
+                    }
                     Err(_) => failures += 1,
                 }
             }
             _ if announcement.is_engine && failures < MAX_FAILURES => {
                 failures += 1;
                 match resume(announcement, request, body.length).await {
-                    Ok(resumed) => response = resumed,
+                    Ok(resumed) => {
+                        framing = framing_of(&resumed);
+                        response = resumed;
+                    }
                     Err(_) => failures = MAX_FAILURES,
                 }
             }
@@ -313,7 +357,7 @@
                     buffer.push(bytes).await;
                 }
             }
-            Ok(None) => return ReadResult::Complete,
+            Ok(None) => return ReadResult::Ended,
             Ok(Some(Err(_))) => return ReadResult::Broken,
             Err(_) if tolerate_silence => {}
             Err(_) => return ReadResult::Silent,
@@ -321,6 +365,44 @@
     }
 }
 
+/// The framing of the rest of a response.
+fn framing_of(resumed: &Response<Incoming>) -> Framing {
+    Framing::of(&Method::GET, resumed.status(), resumed.headers())
+}
+
+/// Whether a response that has ended is whole; asks its target for a connection if that matters.
+async fn judge_end(
+    request: RequestId,
+    announcement: &Announcement,
+    framing: Framing,
+    content: ContentEnd,
+    is_leaving: impl Fn() -> bool,
+) -> EndVerdict {
+    let target = match response_end::depends_on_target(framing, content) {
+        true => check_target(announcement.address)
+            .await
+            .of_leaving(is_leaving()),
+        false => TargetAfter::Unknown,
+    };
+    let verdict = response_end::judge(framing, content, target);
+    if verdict != EndVerdict::Whole {
+        tracing::warn!(
+            "agent: the answer to {request} ended ({framing}, {content:?}), target {target:?}: {verdict:?}"
+        );
+    }
+    verdict
+}
+
+/// Asks a target for a connection after one that it closed.
+async fn check_target(address: SocketAddr) -> TargetAfter {
+    let connecting = TcpStream::connect(address);
+    match timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await {
+        Ok(Ok(_)) => TargetAfter::Accepts,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => TargetAfter::Gone,
+        Ok(Err(_)) | Err(_) => TargetAfter::Unknown,
+    }
+}
+
 fn engine_request(method: Method, request: RequestId, query: &str) -> Request<Full<Bytes>> {
     Request::builder()
         .method(method)
--- a/src/gateway/caller_stream.rs
+++ b/src/caller_stream.rs
@@ -1,5 +1,6 @@
 //! The connection of a caller.
 
+use hyper::Version;
 use socket2::SockRef;
 use std::{
     io,
@@ -16,27 +17,53 @@
     net::TcpStream,
 };
 
-/// A connection that is reset instead of closed if its last response was cut. For a caller that
-/// knows no chunks, the end of the connection is the end of the response.
+/// Version of a response that ends with its connection: the HTTP library writes neither a length
+/// nor chunks for this one only.
+pub const UNFRAMED_VERSION: Version = Version::HTTP_10;
+
+/// Whether the last response on a connection was cut.
+#[derive(Default)]
+pub struct ResponseCut {
+    /// Whether only the end of the connection ends the last response.
+    is_unframed: AtomicBool,
+    is_cut: AtomicBool,
+}
+
+impl ResponseCut {
+    /// Records that a response begins.
+    pub fn begin(&self, request: Version, response: Version) {
+        let is_unframed = request < Version::HTTP_11 || response == UNFRAMED_VERSION;
+        self.is_unframed.store(is_unframed, Ordering::Relaxed);
+    }
+
+    /// Records the failure that ended the connection.
+    pub fn record_failure(&self, error: &hyper::Error) {
+        let is_cut = error.is_user() && self.is_unframed.load(Ordering::Relaxed);
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+}
+
+/// A connection that is reset instead of closed if its last response was cut and has no other end
+/// than that of the connection.
 pub struct CallerStream {
     stream: TcpStream,
-    is_cut: Arc<AtomicBool>,
+    cut: Arc<ResponseCut>,
 }
 
 impl CallerStream {
-    /// Wraps a connection; `is_cut` tells, when it is dropped, whether to reset it.
-    pub fn new(stream: TcpStream, is_cut: Arc<AtomicBool>) -> Self {
-        Self { stream, is_cut }
+    /// Wraps a connection; `cut` tells, when it is dropped, whether to reset it.
+    pub fn new(stream: TcpStream, cut: Arc<ResponseCut>) -> Self {
+        Self { stream, cut }
     }
 }
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        if !self.is_cut.load(Ordering::Relaxed) {
+        if !self.cut.is_cut.load(Ordering::Relaxed) {
             return;
         }
         if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
-            tracing::warn!(%error, "gateway: connection with a cut response not reset");
+            tracing::warn!(%error, "http: connection with a cut response not reset");
         }
     }
 }
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -7,6 +7,7 @@
     refusal::Refusal,
 };
 use crate::{
+    gateway::events::EventBoundary,
     units::RequestId,
     verdict::{Reason, Verdict},
     wire::FromAgent,
@@ -42,6 +43,8 @@
     pub status: u16,
     /// End-to-end headers.
     pub headers: Vec<(String, Bytes)>,
+    /// Whether the response of the target has neither a length nor chunks.
+    pub is_unframed: bool,
 }
 
 /// An event in the reception of a response body.
@@ -50,6 +53,8 @@
     Chunk(Bytes),
     /// The body is complete.
     End,
+    /// The body ended with the connection to its target, and is not known to be complete.
+    Unproven,
     /// The body will stay incomplete.
     Failed(Verdict, Reason),
 }
@@ -77,9 +82,17 @@
             match event {
                 _ if index != self.exchange.index() => {}
                 Event::Message(FromAgent::Head {
-                    status, headers, ..
+                    status,
+                    mut headers,
+                    ..
                 }) => {
-                    return Ok(ResponseHead { status, headers });
+                    let all = headers.len();
+                    headers.retain(|(name, _)| name != "connection");
+                    return Ok(ResponseHead {
+                        status,
+                        is_unframed: headers.len() < all,
+                        headers,
+                    });
                 }
                 event => {
                     if let Some(BodyEvent::Failed(verdict, reason)) = self.handle_event(event) {
@@ -128,7 +141,10 @@
             }) => {
                 self.exchange.acknowledge(self.offset);
                 self.exchange.mark_ended();
-                Some(BodyEvent::Failed(verdict, reason))
+                Some(match verdict {
+                    Verdict::Ran => BodyEvent::Unproven,
+                    verdict => BodyEvent::Failed(verdict, reason),
+                })
             }
             Event::Message(_) => None,
             Event::Lost => Some(BodyEvent::Failed(Verdict::MayHaveRun, Reason::LinkLost)),
@@ -156,21 +172,33 @@
     }
 }
 
-/// A body streamed to a caller. If the response fails midway, an event stream ends with an
-/// error event, and any other body with an error that closes the connection.
+/// A body streamed to a caller. If the response fails midway, it ends with an error that closes the
+/// connection; an event stream has an error event before, unless it broke off inside an event.
 pub struct RelayedBody {
     response: AgentResponse,
     buffered: Option<Bytes>,
     is_event_stream: bool,
+    is_unframed: bool,
+    boundary: EventBoundary,
     done: bool,
+    failure: Option<Failure>,
     delivery: Option<DeliveryTracker>,
     _permit: Option<Permit>,
 }
 
+/// The error that ends a body, after its last bytes.
+enum Failure {
+    /// The server has to wait once, as it flushes then; at an error it drops what it buffered.
+    BeforeFlush(io::Error),
+    Flushed(io::Error),
+}
+
 /// The body of a response to a caller.
 pub enum ResponseBody {
     /// The body is complete; `None` once it has been sent.
     Complete(Option<Bytes>),
+    /// The body ends with its connection; `None` once it has been sent.
+    Unframed(Option<Bytes>),
     /// The body is relayed as it arrives from an agent.
     Relayed(Box<RelayedBody>),
 }
@@ -186,6 +214,7 @@
         response: AgentResponse,
         buffered: Bytes,
         is_event_stream: bool,
+        is_unframed: bool,
         permit: Option<Permit>,
     ) -> Self {
         let buffered = (!buffered.is_empty()).then_some(buffered);
@@ -193,16 +222,28 @@
             response,
             buffered,
             is_event_stream,
+            is_unframed,
+            boundary: EventBoundary::default(),
             done: false,
+            failure: None,
             delivery: None,
             _permit: permit,
         }))
     }
 
+    /// Whether the body has neither a length nor chunks.
+    pub fn is_unframed(&self) -> bool {
+        match self {
+            Self::Complete(_) => false,
+            Self::Unframed(_) => true,
+            Self::Relayed(relayed) => relayed.is_unframed,
+        }
+    }
+
     /// Records how the delivery ends. A complete body counts as delivered at once.
     pub fn track_delivery(&mut self, delivery: DeliveryTracker) {
         match self {
-            Self::Complete(_) => delivery.complete(),
+            Self::Complete(_) | Self::Unframed(_) => delivery.complete(),
             Self::Relayed(relayed) => relayed.delivery = Some(delivery),
         }
     }
@@ -213,40 +254,59 @@
         if let Some(bytes) = self.buffered.take() {
             return Poll::Ready(Some(Ok(bytes)));
         }
-        if self.done {
-            return Poll::Ready(None);
+        match self.failure.take() {
+            Some(Failure::BeforeFlush(error)) => {
+                self.failure = Some(Failure::Flushed(error));
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            Some(Failure::Flushed(error)) => return Poll::Ready(Some(Err(error))),
+            None if self.done => return Poll::Ready(None),
+            None => {}
         }
         match ready!(self.response.poll_next(context)) {
-            BodyEvent::Chunk(bytes) => Poll::Ready(Some(Ok(bytes))),
-            BodyEvent::End => {
+            BodyEvent::Chunk(bytes) => {
+                self.boundary.push(&bytes);
+                Poll::Ready(Some(Ok(bytes)))
+            }
+            BodyEvent::Unproven if !self.is_unframed => {
+                self.break_off(context, Verdict::Ran, Reason::TargetFailed)
+            }
+            BodyEvent::End | BodyEvent::Unproven => {
                 self.done = true;
                 if let Some(delivery) = self.delivery.take() {
                     delivery.complete();
                 }
                 Poll::Ready(None)
             }
-            BodyEvent::Failed(verdict, reason) => {
-                self.done = true;
-                if let Some(delivery) = self.delivery.take() {
-                    delivery.fail(verdict, &reason);
-                }
-                Poll::Ready(Some(self.error_chunk(verdict, reason)))
-            }
+            BodyEvent::Failed(verdict, reason) => self.break_off(context, verdict, reason),
         }
     }
 
-    fn error_chunk(&self, verdict: Verdict, reason: Reason) -> io::Result<Bytes> {
+    /// Ends the body with an error.
+    fn break_off(
+        &mut self,
+        context: &mut Context,
+        verdict: Verdict,
+        reason: Reason,
+    ) -> Poll<Option<io::Result<Bytes>>> {
+        self.done = true;
+        if let Some(delivery) = self.delivery.take() {
+            delivery.fail(verdict, &reason);
+        }
         let message = "the answer broke off; what came before is not whole";
         let refusal = Refusal {
             verdict,
             ..Refusal::not_run(reason, message)
         };
-        match self.is_event_stream {
+        let json = refusal.to_json(self.response.request);
+        self.failure = Some(Failure::BeforeFlush(io::Error::other(refusal)));
+        match self.is_event_stream && !self.boundary.is_inside_event() {
             true => {
-                let json = refusal.to_json(self.response.request);
-                Ok(format!("\n\nevent: error\ndata: {json}\n\n").into())
+                let event = format!("event: error\ndata: {json}\n\n");
+                Poll::Ready(Some(Ok(event.into())))
             }
-            false => Err(io::Error::other(refusal)),
+            false => self.poll_chunk(context),
         }
     }
 }
@@ -268,7 +328,9 @@
         context: &mut Context,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match self.get_mut() {
-            Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Complete(bytes) | Self::Unframed(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
             Self::Relayed(relayed) => relayed
                 .poll_chunk(context)
                 .map(|chunk| chunk.map(|bytes| bytes.map(Frame::data))),
@@ -285,7 +347,7 @@
                 let length = bytes.as_ref().map_or(0, |bytes| bytes.len() as u64);
                 hyper::body::SizeHint::with_exact(length)
             }
-            Self::Relayed(_) => hyper::body::SizeHint::default(),
+            Self::Unframed(_) | Self::Relayed(_) => hyper::body::SizeHint::default(),
         }
     }
 }
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -187,7 +187,7 @@
             Outcome::Answered(answer) => Ok(ClaimDecision::Replay(answer)),
             Outcome::NotRun => Ok(ClaimDecision::RetryClaim(holder)),
             Outcome::AnsweredLong => {
-                let message = "the request ran before; its answer was too long to be kept";
+                let message = "the request ran before; its answer was not kept";
                 let refusal = Refusal::not_run(Reason::ResponseNotRecorded, message);
                 Err(Refusal {
                     verdict: Verdict::Ran,
--- a/src/entry/response.rs
+++ b/src/entry/response.rs
@@ -7,14 +7,15 @@
     scheduler::DispatchError,
 };
 use crate::{
+    caller_stream::UNFRAMED_VERSION,
     control::command::{Outcome, RecordedResponse},
     units::RequestId,
-    verdict::Verdict,
+    verdict::{Reason, Verdict},
 };
 use bytes::{Bytes, BytesMut};
 use hyper::{
     Response, StatusCode,
-    header::{HeaderName, HeaderValue},
+    header::{CONNECTION, HeaderName, HeaderValue},
 };
 
 /// Maximum size of a response that is buffered until complete, so that its status can
@@ -23,34 +24,52 @@
 /// Maximum size of a response body recorded for retries by the caller.
 const MAX_RECORDED_BYTES: usize = 16 * 1024;
 
-/// Buffers a response until it is complete or exceeds [`MAX_BUFFERED_BYTES`].
+/// Buffers a response until it is complete or exceeds [`MAX_BUFFERED_BYTES`]. Returns its body, and
+/// whether all of it is known to be there.
 pub async fn buffer_response(
     mut agent_response: AgentResponse,
+    is_unframed: bool,
     permit: &mut Option<Permit>,
-) -> Result<ResponseBody, DispatchError> {
+) -> Result<(ResponseBody, bool), DispatchError> {
     let mut buffered = BytesMut::new();
     loop {
         match agent_response.next().await {
             BodyEvent::Chunk(bytes) => buffered.extend_from_slice(&bytes),
-            BodyEvent::End => return Ok(ResponseBody::complete(buffered.freeze())),
+            BodyEvent::End if !is_unframed => {
+                return Ok((ResponseBody::complete(buffered.freeze()), true));
+            }
+            BodyEvent::Unproven if !is_unframed => {
+                return Err(DispatchError(Verdict::Ran, Reason::TargetFailed));
+            }
+            end @ (BodyEvent::End | BodyEvent::Unproven) => {
+                let body = ResponseBody::Unframed(Some(buffered.freeze()));
+                return Ok((body, matches!(end, BodyEvent::End)));
+            }
             BodyEvent::Failed(verdict, reason) => return Err(DispatchError(verdict, reason)),
         }
         if buffered.len() > MAX_BUFFERED_BYTES {
-            return Ok(ResponseBody::relayed(
+            let body = ResponseBody::relayed(
                 agent_response,
                 buffered.freeze(),
                 false,
+                is_unframed,
                 permit.take(),
-            ));
+            );
+            return Ok((body, false));
         }
     }
 }
 
-/// The outcome to record for a response.
-pub fn recorded_outcome(status: u16, headers: &[(String, Bytes)], body: &ResponseBody) -> Outcome {
+/// The outcome to record for a response; `is_whole` tells whether all of it is known to be there.
+pub fn recorded_outcome(
+    status: u16,
+    headers: &[(String, Bytes)],
+    body: &ResponseBody,
+    is_whole: bool,
+) -> Outcome {
     match body {
-        ResponseBody::Complete(bytes)
-            if bytes.as_ref().is_none_or(|b| b.len() <= MAX_RECORDED_BYTES) =>
+        ResponseBody::Complete(bytes) | ResponseBody::Unframed(bytes)
+            if is_whole && bytes.as_ref().is_none_or(|b| b.len() <= MAX_RECORDED_BYTES) =>
         {
             let text = |value: &Bytes| String::from_utf8_lossy(value).into_owned();
             let headers = headers
@@ -97,7 +116,13 @@
     headers: &[(String, Bytes)],
     body: ResponseBody,
 ) -> Response<ResponseBody> {
+    let is_unframed = body.is_unframed();
     let mut response = Response::new(body);
+    if is_unframed {
+        *response.version_mut() = UNFRAMED_VERSION;
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in headers {
         let name = HeaderName::from_bytes(name.as_bytes());
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -371,7 +371,11 @@
         let mut agent_response = AgentResponse::new(request, exchange, events);
         let remaining = Duration::from_millis(inbound.remaining_ms());
         let head = timeout(remaining, agent_response.head()).await;
-        let ResponseHead { status, headers } = match head {
+        let ResponseHead {
+            status,
+            headers,
+            is_unframed,
+        } = match head {
             Ok(Ok(head)) => head,
             Ok(Err((verdict, reason))) => return Err(DispatchError(verdict, reason)),
             Err(_) => return Err(DispatchError(Verdict::MayHaveRun, Reason::Expired)),
@@ -379,16 +383,25 @@
         let is_event_stream = headers
             .iter()
             .any(|(name, value)| name == "content-type" && value.starts_with(b"text/event-stream"));
-        let body = match is_event_stream {
-            true => ResponseBody::relayed(agent_response, Bytes::new(), true, permit.take()),
+        let (body, is_whole) = match is_event_stream {
+            true => {
+                let (bytes, permit) = (Bytes::new(), permit.take());
+                let body = ResponseBody::relayed(agent_response, bytes, true, is_unframed, permit);
+                (body, false)
+            }
             false => {
                 let remaining = Duration::from_millis(inbound.remaining_ms());
-                let buffered = timeout(remaining, buffer_response(agent_response, permit)).await;
+                let buffering = buffer_response(agent_response, is_unframed, permit);
+                let buffered = timeout(remaining, buffering).await;
                 buffered.unwrap_or(Err(DispatchError(Verdict::MayHaveRun, Reason::Expired)))?
             }
         };
         if let Some(holder) = claim {
-            self.settle(inbound, holder, recorded_outcome(status, &headers, &body));
+            self.settle(
+                inbound,
+                holder,
+                recorded_outcome(status, &headers, &body, is_whole),
+            );
         }
         Ok(build_response(request, status, &headers, body))
     }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::{
     account_link::{AccountLink, Charge},
-    body::{Relay, UNFRAMED_VERSION, read_start},
+    body::{Relay, read_start},
     connections::{CallError, Connection, ConnectionPool},
     dialect::{ForwardedMetadata, TrafficDialect},
     events,
@@ -17,6 +17,7 @@
     targets::{SlotGuard, SlotQuery, Targets},
 };
 use crate::{
+    caller_stream::UNFRAMED_VERSION,
     clock,
     control::accounts::ChargeResult,
     control_view::ControlView,
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -10,6 +10,7 @@
     targets::SlotGuard,
 };
 use crate::{
+    caller_stream::UNFRAMED_VERSION,
     clock,
     document::RetryPolicy,
     metrics,
@@ -19,7 +20,7 @@
 use futures::{FutureExt, Stream};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{
-    Response, Version,
+    Response,
     body::{Body, Frame, Incoming, SizeHint},
     header,
 };
@@ -34,9 +35,6 @@
 
 /// Silence timeout of a resumable stream, as a multiple of the route's pause limit.
 const SILENCE_TIMEOUT_PAUSES: u64 = 3;
-/// Version of a response that ends with its connection: the library writes neither a length nor
-/// chunks for this one only.
-pub const UNFRAMED_VERSION: Version = Version::HTTP_10;
 /// Minimum silence timeout of a resumable stream.
 const MIN_SILENCE_TIMEOUT_MS: u64 = 1000;
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,6 @@
 mod admission_links;
 mod attempts;
 mod body;
-mod caller_stream;
 mod connections;
 mod crashes;
 pub mod dialect;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,8 +3,7 @@
 use super::{
     account_link::AccountLink,
     attempts::{Attempts, GatewayResponse},
-    body::{ResponseBody, UNFRAMED_VERSION},
-    caller_stream::CallerStream,
+    body::ResponseBody,
     connections::{self, ConnectionPool},
     dialect::TrafficDialect,
     incoming_request::IncomingRequest,
@@ -15,7 +14,9 @@
     targets::Targets,
 };
 use crate::{
-    accept, clock,
+    accept,
+    caller_stream::{CallerStream, ResponseCut, UNFRAMED_VERSION},
+    clock,
     control::{
         ControlClient,
         members::{Member, ProcessRole},
@@ -32,7 +33,7 @@
 use bytes::Bytes;
 use http_body_util::{Full, StreamBody};
 use hyper::{
-    Request, Response, StatusCode, Version,
+    Request, Response, StatusCode,
     body::{Body, Incoming},
     header::{self, HeaderValue},
     server::conn::http1,
@@ -306,18 +307,15 @@
         let for_service = Arc::clone(&last_answer);
         let limits = shared.view.load().policy.caller_limits;
         let for_connection = Arc::clone(&shared);
-        // Whether the end of the connection is the only sign of the end of the last response.
-        let (is_unframed, is_cut) = (Arc::new(AtomicBool::new(false)), Arc::default());
-        let (for_response, for_stream) = (Arc::clone(&is_unframed), Arc::clone(&is_cut));
+        let cut = Arc::<ResponseCut>::default();
+        let (for_response, for_stream) = (Arc::clone(&cut), Arc::clone(&cut));
         let service = service_fn(move |request: Request<Incoming>| {
             let shared = Arc::clone(&for_connection);
             let last_answer = Arc::clone(&for_service);
-            let is_unframed = Arc::clone(&for_response);
-            let lacks_chunks = request.version() < Version::HTTP_11;
+            let (cut, version) = (Arc::clone(&for_response), request.version());
             async move {
                 let response = shared.handle(request, &last_answer).await;
-                let ends_with_connection = response.version() == UNFRAMED_VERSION;
-                is_unframed.store(lacks_chunks || ends_with_connection, Ordering::Relaxed);
+                cut.begin(version, response.version());
                 Ok::<_, Infallible>(response)
             }
         });
@@ -334,9 +332,8 @@
             let mut served = pin!(served);
             // The caller disconnected or sent an invalid request, or its response was cut.
             if let Err(error) = served.as_mut().await {
-                let resets = error.is_user() && is_unframed.load(Ordering::Relaxed);
                 // The connection is closed when `served` is dropped.
-                is_cut.store(resets, Ordering::Relaxed);
+                cut.record_failure(&error);
                 log_connection_failure(&error, caller, &last_answer);
             }
             drop(open_guard);
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -1,6 +1,9 @@
 //! An HTTP/1.1 and HTTP/2 server without TLS, with graceful shutdown.
 
-use crate::accept;
+use crate::{
+    accept,
+    caller_stream::{CallerStream, ResponseCut},
+};
 use bytes::Bytes;
 use hyper::{
     Request, Response,
@@ -11,7 +14,7 @@
     rt::{TokioExecutor, TokioIo},
     server::{conn::auto, graceful::GracefulShutdown},
 };
-use std::{convert::Infallible, error::Error, io, net::SocketAddr};
+use std::{convert::Infallible, error::Error, io, net::SocketAddr, pin::pin, sync::Arc};
 use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
 
 /// A bound listener that does not accept connections yet.
@@ -112,14 +115,31 @@
         };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
-        let service = service_fn(move |request| {
+        let cut = Arc::<ResponseCut>::default();
+        let (for_response, for_stream) = (Arc::clone(&cut), Arc::clone(&cut));
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (cut, version) = (Arc::clone(&for_response), request.version());
             let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            async move {
+                let response = response.await;
+                cut.begin(version, response.version());
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(TokioIo::new(CallerStream::new(stream, for_stream)), service)
             .into_owned();
-        tokio::spawn(graceful.watch(connection));
+        let served = graceful.watch(connection);
+        tokio::spawn(async move {
+            let mut served = pin!(served);
+            if let Err(error) = served.as_mut().await {
+                tracing::debug!("{component}: connection ended: {error}");
+                // The connection is closed when `served` is dropped.
+                if let Some(error) = error.downcast_ref::<hyper::Error>() {
+                    cut.record_failure(error);
+                }
+            }
+        });
     }
     drop(listener);
     graceful.shutdown().await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod accept;
 pub mod agent;
 pub mod arguments;
+pub mod caller_stream;
 pub mod charges;
 pub mod clock;
 pub mod commands;
--- a/src/response_end.rs
+++ b/src/response_end.rs
@@ -41,7 +41,10 @@
         let has_no_body = *method == Method::HEAD
             || status.is_informational()
             || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        let codings = headers.get_all(header::TRANSFER_ENCODING).iter().last();
+        let codings = headers
+            .get_all(header::TRANSFER_ENCODING)
+            .iter()
+            .next_back();
         let last_coding = codings.map(|codings| {
             let codings = codings.to_str().unwrap_or_default();
             codings.rsplit(',').next().unwrap_or_default().trim()
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -90,13 +90,15 @@
         /// The request is refused and did not run. With `TooSlow`, `retry_after_ms` is the time
         /// that it was expected to take at this target.
         Refused { request: RequestId, reason: Reason, retry_after_ms: u64 },
-        /// Status and headers of the response.
+        /// Status and headers of the response. `connection: close` is among the headers if the
+        /// response of the target has neither a length nor chunks.
         Head { request: RequestId, status: u16, headers: Vec<(String, Bytes)> },
         /// A part of the response body.
         Data { request: RequestId, offset: u64, bytes: Bytes },
         /// The response is complete; carries the length and CRC-32 of its body.
         End { request: RequestId, length: u64, crc: u32 },
-        /// The response failed and remains incomplete.
+        /// The response failed and remains incomplete. With the verdict `Ran` it ended with the
+        /// connection to its target, and it is not known whether it is complete.
         Failed { request: RequestId, verdict: Verdict, reason: Reason },
         /// The outcome of a grant; `NotRun` is final.
         Fenced { request: RequestId, outcome: Outcome },
--- a/tests/bad_links.rs
+++ b/tests/bad_links.rs
@@ -64,6 +64,7 @@
     let answer = call.await.unwrap();
     let text = answer.text();
     assert!(!text.contains("[DONE]"), "reported as complete");
+    assert!(!answer.whole, "framed as complete");
     assert!(
         text.contains("event: error") && text.contains("link-lost"),
         "{text}"
@@ -88,6 +89,7 @@
     system.target("engine-1").process.kill();
     let stream = stream.await.unwrap();
     assert!(!stream.text().contains("[DONE]"), "reported as complete");
+    assert!(!stream.whole, "framed as complete");
     assert!(stream.text().contains("event: error"), "{}", stream.text());
     let plain = plain.await.unwrap();
     assert_eq!(
--- a/tests/response_end.rs
+++ b/tests/response_end.rs
@@ -62,7 +62,8 @@
 
 #[test]
 fn the_head_tells_what_ends_the_body() {
-    let cases: [(Method, u16, &[(&str, &str)], Framing); 10] = [
+    type Fields = &'static [(&'static str, &'static str)];
+    let cases: [(Method, u16, Fields, Framing); 10] = [
         (Method::POST, 200, &[], Framing::Connection),
         (Method::POST, 500, &[], Framing::Connection),
         (
--- /dev/null
+++ b/tests/unframed_outcomes.rs
@@ -0,0 +1,188 @@
+//! Answers of plain targets that have neither a length nor chunks, on the path of entries and
+//! agents. What the caller gets is read from the socket.
+
+mod support;
+
+use guavacove::units::RequestId;
+use serde_json::json;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use support::{
+    LEDGERWELL, Process, RawAnswer, RawEnd, System, eventually, fetch, fetch_raw, free_address,
+    get, sleep_ms,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+const HALF_EVENT: &str = "id: 1\ndata: one\n\nid: 2\nda";
+
+/// What the target does after its answer.
+#[derive(Clone, Copy, Debug)]
+enum After {
+    Close,
+    /// Closes its connections and refuses new ones.
+    Crash,
+    /// The same, and has said before that it is leaving.
+    Leave,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    content_type: &'static str,
+    text: &'static str,
+    after: After,
+}
+
+async fn answer(mut stream: TcpStream, answer: Answer, crash: Arc<watch::Sender<bool>>) {
+    let mut request = Vec::new();
+    while !request.windows(4).any(|end| end == b"\r\n\r\n") {
+        if stream.read_buf(&mut request).await.unwrap_or(0) == 0 {
+            return;
+        }
+    }
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: {}\r\n\r\n",
+        answer.content_type
+    );
+    // Ends with an error when the agent closes the connection first.
+    let _ = stream.write_all((head + answer.text).as_bytes()).await;
+    sleep_ms(300).await;
+    if !matches!(answer.after, After::Close) {
+        crash.send_replace(true);
+        sleep_ms(20).await;
+    }
+}
+
+/// Serves connections until the target crashes; then they are refused.
+async fn serve(listener: TcpListener, script: Answer) {
+    let crash = Arc::new(watch::Sender::new(false));
+    let mut crashed = crash.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(answer(stream, script, Arc::clone(&crash)));
+                }
+            }
+            _ = crashed.changed() => return,
+        }
+    }
+}
+
+/// Announces a target of a service to its agent until the test ends.
+async fn announce(agent: SocketAddr, address: SocketAddr, is_leaving: Arc<AtomicBool>) {
+    loop {
+        let body = json!({
+            "service": "filings", "address": address, "slots": 4,
+            "leaving": is_leaving.load(Ordering::Relaxed),
+        });
+        let request = hyper::Request::put("/target")
+            .header("host", "agent")
+            .body(http_body_util::Full::new(body.to_string().into()));
+        fetch(agent, request.unwrap()).await;
+        sleep_ms(100).await;
+    }
+}
+
+/// A system whose only plain target answers like this; the answer to one request with this key.
+async fn answer_to_a_caller(script: Answer) -> (System, RawAnswer, String) {
+    let system = System::builder().controls(1).entries(1).start().await;
+    let (listen, announced) = (free_address(), free_address());
+    let settings = json!({
+        "name": "filings-1", "failure_domain": "a", "listen": listen, "announce": announced,
+        "control": system.control_addresses,
+    });
+    let file = system.write("filings-1.yaml", &settings.to_string());
+    let log = system.folder.path().join("filings-1.log");
+    let _agent = Process::spawn(vec!["agent".into(), "--settings".into(), file], log);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, script));
+    let is_leaving = Arc::new(AtomicBool::new(false));
+    tokio::spawn(announce(announced, address, Arc::clone(&is_leaving)));
+    eventually("the target is a member", 15_000, || async {
+        let status = system.status();
+        let processes = status["processes"].as_array().cloned().unwrap_or_default();
+        processes
+            .iter()
+            .any(|process| !process["member"]["target"].is_null())
+    })
+    .await;
+    eventually("the entry is ready", 15_000, || async {
+        get(system.entries[0].1, "/readyz").await.status == 200
+    })
+    .await;
+    sleep_ms(300).await;
+    let key = RequestId::random().to_string();
+    let request = format!(
+        "POST /services/filings/notices HTTP/1.1\r\nhost: guavacove\r\nauthorization: Bearer \
+         {LEDGERWELL}\r\nidempotency-key: {key}\r\ncontent-length: 0\r\n\r\n"
+    );
+    if let After::Leave = script.after {
+        let later = Arc::clone(&is_leaving);
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            later.store(true, Ordering::Relaxed);
+        });
+    }
+    let entry = system.entries[0].1;
+    let answer = fetch_raw(entry, &request).await;
+    (system, answer, request)
+}
+
+/// Guards against an answer that is told to be whole, by its length or its last chunk, although
+/// its target only closed the connection, be it as it crashed.
+async fn an_answer_claims_no_more_than_its_target(
+    content_type: &'static str,
+    text: &'static str,
+    after: After,
+    status: u16,
+    end: RawEnd,
+) {
+    let script = Answer {
+        content_type,
+        text,
+        after,
+    };
+    let (_system, answer, _) = answer_to_a_caller(script).await;
+    assert_eq!((answer.status(), answer.end), (status, end), "{answer:?}");
+    if end == RawEnd::Closed {
+        assert_eq!(answer.text, text);
+    }
+    assert!(
+        status != 200 || text.starts_with(answer.text.split("event: error").next().unwrap()),
+        "{answer:?}"
+    );
+}
+
+const STREAM: &str = "text/event-stream";
+const PLAIN: &str = "text/plain";
+
+cases! {
+    closed_answers_claim_no_more_than_their_target =>
+        an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Close, 200, RawEnd::Closed);
+    answers_of_crashed_targets_are_not_passed_on =>
+        an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Crash, 502, RawEnd::Complete);
+    answers_of_leaving_targets_are_passed_on =>
+        an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Leave, 200, RawEnd::Closed);
+    closed_streams_claim_no_more_than_their_target =>
+        an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Close, 200, RawEnd::Closed);
+    streams_of_crashed_targets_are_broken =>
+        an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Crash, 200, RawEnd::Broken);
+    streams_closed_inside_an_event_are_broken =>
+        an_answer_claims_no_more_than_its_target(STREAM, HALF_EVENT, After::Close, 200, RawEnd::Broken);
+    streams_closed_before_their_first_event_are_broken =>
+        an_answer_claims_no_more_than_its_target(STREAM, "", After::Close, 200, RawEnd::Broken);
+    streams_of_leaving_targets_are_passed_on =>
+        an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Leave, 200, RawEnd::Closed);
+}
