Log crashes of targets under requests without a prompt

The line now names method, path and size of the body, by which repeats of a request can be recognised. No logic is changed.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -63,7 +63,7 @@
     ) {
         let parts = incoming.shared_parts();
         let is_crash = progress.is_trial || refuses_connections(slot.target.address).await;
-        if parts.is_empty() || !is_crash {
+        if !is_crash {
             return;
         }
         let run = TargetRun {
@@ -73,8 +73,12 @@
         metrics::gateway_crash(&incoming.service);
         tracing::warn!(
             request = incoming.id, target = %run.target, started_unix_ms = run.started_unix_ms,
+            method = %incoming.method, path = incoming.uri.path(), body_bytes = incoming.body.len(),
             parts = parts.len(), "gateway: target crashed before the first event"
         );
+        if parts.is_empty() {
+            return;
+        }
         let mut suspects = self.suspects();
         progress.may_crash_targets |= suspects.is_suspected(&incoming.service, &parts);
         suspects.record_crash(&incoming.service, run, &parts, clock::boot_ms());
