Answer all requests before a stopping gateway is killed

Reported by another operator: at the end of the grace of a planned stop requests were cut without an answer, among them such that may not be repeated (LOST). What comes late is refused here as not run, on kept connections, with bodies that come slowly and while it waits for a slot (four tests passed before). But a request that was accepted before the signal, and whose target is still at work, was cut with the process; and as its connection is closed then, a stream without framing looked whole.

Cause: only new requests were compared with the time of the kill. Now every one is: 200 ms before it, what has not been passed on is refused as not run, with Retry-After; what may have run is answered 502; a stream is cut visibly.

Entries have no setting for the time of the kill and wait for their requests without limit; nothing is changed there.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -13,6 +13,7 @@
     response_origin::{ResponseOrigin, ResponseTraits, promises_not_run},
     retry_after::retry_after_ms,
     retry_budget::RetryBudget,
+    stop_time::StopTime,
     suspects::SuspectedParts,
     targets::{SlotGuard, SlotQuery, Targets},
 };
@@ -88,6 +89,8 @@
     pub local_quotas: Mutex<LocalQuotas>,
     /// Requests and parts of prompts that are suspected to crash targets.
     pub suspected_parts: Mutex<SuspectedParts>,
+    /// When this gateway is killed.
+    pub stop_time: StopTime,
 }
 
 /// Response to the caller.
@@ -317,6 +320,7 @@
         progress: &Progress,
         refusal: Refusal,
     ) -> Result<(), Refusal> {
+        incoming.set_may_have_run(progress.possible_runs > 0);
         // A request that may have run once is never refused as "not run".
         let refusal = match progress.possible_runs {
             0 => refusal,
@@ -455,6 +459,7 @@
         progress.tried_targets.push(slot.target.name.clone());
         progress.delivered += 1;
         progress.possible_runs += 1;
+        incoming.set_may_have_run(true);
         Some(request)
     }
 
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -50,6 +50,9 @@
     /// The deadline passed.
     #[display("deadline exceeded")]
     Deadline,
+    /// This gateway is about to be killed.
+    #[display("gateway stops")]
+    Stopping,
 }
 
 impl BreakCause {
@@ -59,6 +62,7 @@
             Self::Broken(_) => "broken",
             Self::Silent(_) => "silent",
             Self::Deadline => "deadline",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -176,12 +180,27 @@
             if relay.ended {
                 return None;
             }
-            let item = relay.next().await?;
+            let item = relay.next_until_stop().await?;
             relay.ended = item.is_err();
             Some((item.map(Frame::data), relay))
         })
     }
 
+    /// Like [`Self::next`], until the response has to end as this process is about to be killed: an
+    /// unfinished one without framing would look whole then.
+    async fn next_until_stop(&mut self) -> Option<io::Result<Bytes>> {
+        let attempts = Arc::clone(&self.attempts);
+        let next = tokio::select! {
+            biased;
+            next = self.next() => Some(next),
+            () = attempts.stop_time.reached() => None,
+        };
+        match next {
+            Some(next) => next,
+            None => Some(Err(self.fail(&BreakCause::Stopping))),
+        }
+    }
+
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             let read = match self.read().await {
--- a/src/gateway/incoming_request.rs
+++ b/src/gateway/incoming_request.rs
@@ -19,7 +19,10 @@
 use sha2::{Digest, Sha256};
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 use tokio::time::timeout;
@@ -61,6 +64,7 @@
     pub version: DocumentVersion,
     /// See [`Self::digest`].
     digest: OnceLock<PartId>,
+    may_have_run: AtomicBool,
 }
 
 impl IncomingRequest {
@@ -137,9 +141,20 @@
             deadline_at_ms: arrived_ms + timeout_ms,
             version: view.policy.version,
             digest: OnceLock::new(),
+            may_have_run: AtomicBool::new(false),
         })
     }
 
+    /// Returns whether a target may run the request, or has.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Relaxed)
+    }
+
+    /// Records whether a target may run the request, or has.
+    pub fn set_may_have_run(&self, may_have_run: bool) {
+        self.may_have_run.store(may_have_run, Ordering::Relaxed);
+    }
+
     /// Returns the time left until the deadline, in milliseconds.
     pub fn left_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(clock::boot_ms())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod search;
 mod server;
 pub mod starvation;
+mod stop_time;
 pub mod suspects;
 mod targets;
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,6 +10,7 @@
     quotas::LocalQuotas,
     refusal_response,
     retry_budget::RetryBudget,
+    stop_time::StopTime,
     suspects::SuspectedParts,
     targets::Targets,
 };
@@ -49,10 +50,7 @@
     io,
     net::SocketAddr,
     pin::pin,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 use tokio::{
@@ -63,8 +61,6 @@
 
 /// Interval at which demand is reported, shares are updated and idle connections are closed.
 const MAINTENANCE_INTERVAL_MS: u64 = 250;
-/// Time before the process is killed at which a response must be complete to reach its caller.
-const SHUTDOWN_MARGIN_MS: u64 = 200;
 /// `Retry-After` of a stopping gateway: another one accepts the request at once.
 const STOPPING_RETRY_AFTER_MS: u64 = 20;
 /// Minimum read buffer size that the HTTP library accepts.
@@ -142,9 +138,6 @@
 struct Shared<D> {
     view: Arc<ControlView>,
     attempts: Arc<Attempts<D>>,
-    stopping: AtomicBool,
-    /// Time at which the process is killed; 0 before shutdown starts.
-    killed_at_ms: AtomicU64,
     stop_grace_ms: u64,
     dialect: D,
 }
@@ -195,12 +188,11 @@
             retry_budget: RetryBudget::new(settings.repeats).into(),
             local_quotas: LocalQuotas::new(settings.quota_tolerance.units).into(),
             suspected_parts: SuspectedParts::default().into(),
+            stop_time: StopTime::default(),
         });
         let shared = Arc::new(Shared {
             view,
             attempts,
-            stopping: AtomicBool::new(false),
-            killed_at_ms: AtomicU64::new(0),
             stop_grace_ms: settings.stop_grace_ms,
             dialect,
         });
@@ -240,10 +232,7 @@
     pub async fn shutdown(self) {
         tracing::info!(name = %self.name, "gateway: stops");
         let killed_at_ms = clock::boot_ms() + self.shared.stop_grace_ms;
-        self.shared
-            .killed_at_ms
-            .store(killed_at_ms, Ordering::Relaxed);
-        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.attempts.stop_time.begin(killed_at_ms);
         tokio::time::sleep(self.balancer_delay).await;
         let _ = self.stop.send(());
         if self.serving.await.is_err() {
@@ -347,7 +336,7 @@
 impl<D: TrafficDialect> Shared<D> {
     fn readiness(&self) -> Response<Full<Bytes>> {
         let has_document = self.view.load().policy.version > DocumentVersion(0);
-        let stopping = self.stopping.load(Ordering::Relaxed);
+        let stopping = self.attempts.stop_time.is_stopping();
         let (status, text) = match (stopping, has_document) {
             (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
             (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no document known\n"),
@@ -358,11 +347,24 @@
         response
     }
 
-    /// Returns whether a request may still run when this process is killed. Only its deadline
-    /// is a safe bound: the expected run time is often far off.
-    fn may_outlive_process(&self, incoming: &IncomingRequest) -> bool {
-        let killed_at_ms = self.killed_at_ms.load(Ordering::Relaxed);
-        killed_at_ms > 0 && incoming.deadline_at_ms + SHUTDOWN_MARGIN_MS > killed_at_ms
+    /// Serves a request, until its response has to end as this process is about to be killed.
+    async fn serve_until_stop(
+        &self,
+        incoming: Arc<IncomingRequest>,
+    ) -> Result<GatewayResponse<D>, Refusal> {
+        let serving = Box::pin(self.attempts.serve(Arc::clone(&incoming)));
+        tokio::select! {
+            biased;
+            result = serving => result,
+            () = self.attempts.stop_time.reached() => {
+                let message = "this gateway stops before the answer is whole";
+                Err(match incoming.may_have_run() {
+                    true => Refusal::may_have_run(Reason::Leaving, message),
+                    false => Refusal::not_run(Reason::Leaving, message)
+                        .retry_after(STOPPING_RETRY_AFTER_MS),
+                })
+            }
+        }
     }
 
     async fn handle(
@@ -377,7 +379,12 @@
         drop(view);
         let mut route = None;
         let (id, result) = match read {
-            Ok(incoming) if self.may_outlive_process(&incoming) => {
+            Ok(incoming)
+                if self
+                    .attempts
+                    .stop_time
+                    .may_be_outlived(incoming.deadline_at_ms) =>
+            {
                 let message = "this gateway stops before the answer would be whole";
                 let refusal = Refusal::not_run(Reason::Leaving, message);
                 (
@@ -390,7 +397,7 @@
                 let id = incoming.id.clone();
                 route = Some((Arc::clone(&incoming.route), incoming.rank));
                 let mut guard = ResponseGuard::new(&incoming);
-                let result = Box::pin(self.attempts.serve(incoming)).await;
+                let result = self.serve_until_stop(incoming).await;
                 guard.has_response = true;
                 (id, result)
             }
@@ -420,7 +427,7 @@
                 refusal_response::build(&refusal).map(ResponseBody::Buffered)
             }
         };
-        if self.stopping.load(Ordering::Relaxed) || response.version() == UNFRAMED_VERSION {
+        if self.attempts.stop_time.is_stopping() || response.version() == UNFRAMED_VERSION {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
