Show that changes are accepted after each disk was full

Reported by another operator: the disks of counted machines were full for a few seconds each, one after another; long after the last had room again, changes were refused or unanswered. It does not happen here, as far as tests can play it: each of three control instances, or the leader six times, may write no more for 3 s (its limit on file sizes), while changes are offered; within 4 s after that the next change is accepted, ten more at the end, and every process runs. Both tests pass on the code as it is. Not played: a sync that fails once and then succeeds.

--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -45,6 +45,13 @@
     Command::new(env!("CARGO_BIN_EXE_guavacove"))
 }
 
+/// The program in a process that a write beyond its limit on files does not end.
+fn limitable_command() -> Command {
+    let mut command = Command::new("env");
+    command.args(["--ignore-signal=XFSZ", env!("CARGO_BIN_EXE_guavacove")]);
+    command
+}
+
 /// Runs a command of the program to completion.
 pub fn guavacove(arguments: &[&str]) -> Output {
     guavacove_command()
@@ -79,6 +86,17 @@
         }
     }
 
+    /// Lets the process write no more to files, as if its disk were full, or ends that.
+    pub fn fill_disk(&self, is_full: bool) {
+        let limit = if is_full { "0" } else { "unlimited" };
+        let pid = self.child.id().to_string();
+        let fsize = format!("--fsize={limit}:unlimited");
+        let status = Command::new("prlimit")
+            .args(["--pid", &pid, &fsize])
+            .status();
+        assert!(status.expect("prlimit runs").success(), "{fsize}");
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id().cast_signed());
         kill(pid, signal).expect("the process exists");
@@ -167,7 +185,7 @@
         .open(log)
         .expect("the log can be written");
     let output = log.try_clone().expect("the log can be opened twice");
-    guavacove_command()
+    limitable_command()
         .args(arguments)
         .stdout(output)
         .stderr(log)
