--- a/tests/unframed_outcomes.rs
+++ b/tests/unframed_outcomes.rs
@@ -50,10 +50,11 @@
             return;
         }
     }
-    let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: {}\r\n\r\n",
-        answer.content_type
-    );
+    let head = match answer.content_type {
+        // Stops inside the head.
+        "" => String::new(),
+        content_type => format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n\r\n"),
+    };
     // Ends with an error when the agent closes the connection first.
     let _ = stream.write_all((head + answer.text).as_bytes()).await;
     sleep_ms(300).await;
@@ -140,6 +141,12 @@
     (system, answer, request)
 }
 
+/// Guards against an answer whose target stopped inside the head and that reaches its caller as a
+/// whole one.
+async fn a_stopped_head_is_no_answer(text: &'static str, after: After) {
+    an_answer_claims_no_more_than_its_target("", text, after, 502, RawEnd::Complete).await;
+}
+
 /// Guards against an answer that is told to be whole, by its length or its last chunk, although
 /// its target only closed the connection, be it as it crashed.
 async fn an_answer_claims_no_more_than_its_target(
@@ -169,6 +176,14 @@
 const PLAIN: &str = "text/plain";
 
 cases! {
+    status_lines_are_no_answers => a_stopped_head_is_no_answer("HTTP/1.1 200 OK\r\n", After::Close);
+    half_headers_are_no_answers =>
+        a_stopped_head_is_no_answer("HTTP/1.1 200 OK\r\ncontent-ty", After::Close);
+    heads_without_an_empty_line_are_no_answers =>
+        a_stopped_head_is_no_answer("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n", After::Close);
+    crashes_inside_the_head_are_no_answers =>
+        a_stopped_head_is_no_answer("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n", After::Crash);
+
     closed_answers_claim_no_more_than_their_target =>
         an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Close, 200, RawEnd::Closed);
     answers_of_crashed_targets_are_not_passed_on =>
