Tell gateways of a request only after two crashes

After a crash of 55 engines with 5 requests each that is some 275 rows for each of 300 gateways, and from then on each gateway computes a digest of every request to the service. Now a request is published with its second counted crash; one that an answer clears starts anew, which its crashes before did not (test crashes_before_an_answer_do_not_count).

Smaller things of the same reading: a connection that was opened only to ask whether a target lives is sent again like other idle ones if the target has closed it; a buffered answer that is not known to be whole does not count for the speed of its target; a length beside an unknown transfer coding is not passed on.

--- a/src/control/suspects.rs
+++ b/src/control/suspects.rs
@@ -7,7 +7,7 @@
 //!
 //! | input | effect |
 //! |---|---|
-//! | a target crashed while it ran the request | the request is suspected; each run of a target counts once. One at which a blocked request was present, too, does not count beside others |
+//! | targets crashed twice while they ran the request | the request is suspected; each run of a target counts once. One at which a blocked request was present, too, does not count beside others |
 //! | a target crashed before the first event of a request with the part | the part is suspected; a further crash counts if it comes [`CRASH_INTERVAL_MS`] later, and requests without the part were served in between |
 //! | a complete response to the request, or to one with the part, sent after it was suspected | it is cleared |
 //! | a complete response to a request of the service without it, sent after that | the next crash may count |
@@ -26,6 +26,8 @@
 
 /// Number of counted crashes after which a part is blocked.
 pub const BLOCKING_CRASHES: u64 = 3;
+/// Number of counted crashes from which on gateways are told of a request.
+const PUBLISHED_REQUEST_CRASHES: u64 = 2;
 /// Number of requests under which crashes must have come before a part of theirs is blocked.
 const MIN_REQUESTS: usize = 3;
 /// Maximum number of crashes of a request that do not count as a blocked request was present, too.
@@ -163,6 +165,8 @@
 struct Evidence {
     /// Runs whose crashes were reported.
     runs: VecDeque<TargetRun>,
+    /// Number of the oldest of these of which a request was cleared.
+    cleared_runs: usize,
     counted_ms: u64,
     /// The requests under which the crashes came, as far as it matters whether there are several.
     requests: Vec<Option<PartId>>,
@@ -213,7 +217,7 @@
         is_changed
     }
 
-    /// Counts a crash at which the part or request was present.
+    /// Records a crash at which the part or request was present.
     fn accuse(
         &mut self,
         key: &SuspectKey,
@@ -231,20 +235,20 @@
         evidence.runs.push_back(crash.run.clone());
         if evidence.runs.len() > MAX_RUNS {
             evidence.runs.pop_front();
+            evidence.cleared_runs = evidence.cleared_runs.saturating_sub(1);
         }
-        // A gateway that states no digest may have reported another request each time.
-        if evidence.requests.len() < MIN_REQUESTS
-            && (crash.request.is_none() || !evidence.requests.contains(&crash.request))
-        {
-            evidence.requests.push(crash.request);
-        }
+        let crashes = match key.kind {
+            SuspectKind::Part => self.count_part_crash(key, crash, now_ms),
+            SuspectKind::Request => self.count_request_crash(key, now_ms),
+        };
+        let Some(crashes) = crashes else {
+            return false;
+        };
         let Some(suspect) = self.table.get(key) else {
-            evidence.counted_ms = now_ms;
-            evidence.others_served = false;
             let suspect = Suspect {
                 key: key.clone(),
                 since_unix_ms: now_unix_ms,
-                crashes: 1,
+                crashes,
                 is_blocked: false,
                 block_ms: 0,
                 trial_by: None,
@@ -252,29 +256,14 @@
             return self.table.put(key.clone(), suspect, now_ms);
         };
         let is_tried = suspect.trial_by.is_some();
-        let counts = match key.kind {
-            SuspectKind::Request => true,
-            SuspectKind::Part => {
-                evidence.others_served && now_ms >= evidence.counted_ms + CRASH_INTERVAL_MS
-            }
-        };
-        if !counts && !is_tried {
-            return false;
-        }
-        evidence.counted_ms = now_ms;
-        evidence.others_served = false;
+        let evidence = &self.evidence[key];
         let is_expected = now_ms < evidence.since_ms + BLOCK_NOTICE_MS;
-        let has_requests = evidence.requests.len() >= MIN_REQUESTS;
-        let counted = suspect.crashes + 1;
-        let crashes = match key.kind {
-            SuspectKind::Request if !suspect.is_blocked => self.count_unexplained(key),
-            _ => counted,
-        };
+        let has_requests =
+            key.kind == SuspectKind::Request || evidence.requests.len() >= MIN_REQUESTS;
         self.table.update(key, |suspect| suspect.crashes = crashes);
         match self.table.get(key) {
-            Some(suspect) if !suspect.is_blocked && suspect.crashes < BLOCKING_CRASHES => {}
             Some(suspect)
-                if !suspect.is_blocked && key.kind == SuspectKind::Part && !has_requests => {}
+                if !suspect.is_blocked && (crashes < BLOCKING_CRASHES || !has_requests) => {}
             // A request that was sent before gateways knew of the block.
             Some(suspect) if suspect.is_blocked && !is_tried && is_expected => {}
             _ => self.block(key, now_ms),
@@ -282,6 +271,50 @@
         true
     }
 
+    /// Counts a crash before the first event of a request with a part; `None` if it does not count.
+    fn count_part_crash(
+        &mut self,
+        key: &SuspectKey,
+        crash: &CrashReport,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let evidence = self.evidence.get_mut(key)?;
+        // A gateway that states no digest may have reported another request each time.
+        if evidence.requests.len() < MIN_REQUESTS
+            && (crash.request.is_none() || !evidence.requests.contains(&crash.request))
+        {
+            evidence.requests.push(crash.request);
+        }
+        let crashes = match self.table.get(key) {
+            None => 1,
+            Some(suspect)
+                if suspect.trial_by.is_some()
+                    || evidence.others_served
+                        && now_ms >= evidence.counted_ms + CRASH_INTERVAL_MS =>
+            {
+                suspect.crashes + 1
+            }
+            Some(_) => return None,
+        };
+        evidence.counted_ms = now_ms;
+        evidence.others_served = false;
+        Some(crashes)
+    }
+
+    /// Counts a crash of a request; `None` while it is not published. Most requests that run at a
+    /// target as it crashes are never sent again.
+    fn count_request_crash(&mut self, key: &SuspectKey, now_ms: u64) -> Option<u64> {
+        self.evidence.get_mut(key)?.counted_ms = now_ms;
+        match self.table.get(key) {
+            Some(suspect) if suspect.is_blocked => Some(suspect.crashes + 1),
+            known => {
+                let is_known = known.is_some();
+                let crashes = self.count_unexplained(key);
+                (is_known || crashes >= PUBLISHED_REQUEST_CRASHES).then_some(crashes)
+            }
+        }
+    }
+
     /// Returns the number of crashes of a request, less those that a blocked one explains, but not
     /// more than [`MAX_EXPLAINED_CRASHES`]. If blocked ones were present at each, it cannot be told
     /// from them, and all count.
@@ -300,9 +333,9 @@
             .filter_map(|other| self.evidence.get(&other.key))
             .flat_map(|other| &other.runs)
             .collect();
-        let crashes = evidence.runs.len() as u64;
-        let is_explained = |run: &&TargetRun| explained.contains(run);
-        match evidence.runs.iter().filter(is_explained).count() as u64 {
+        let runs = evidence.runs.iter().skip(evidence.cleared_runs);
+        let crashes = runs.len() as u64;
+        match runs.filter(|run| explained.contains(run)).count() as u64 {
             count if count == crashes => crashes,
             count => crashes - count.min(MAX_EXPLAINED_CRASHES),
         }
@@ -319,6 +352,9 @@
                     service = %report.key.service, kind = %report.key.kind, part = %report.key.id,
                     crashes = known.crashes, was_blocked = known.is_blocked, "control: part cleared"
                 );
+                if let Some(evidence) = self.evidence.get_mut(&report.key) {
+                    evidence.cleared_runs = evidence.runs.len();
+                }
                 self.table.remove(&report.key)
             }
             Testimony::OthersServed => {
@@ -394,6 +430,9 @@
                 Some(_) if now_ms >= evidence.counted_ms + SUSPICION_TTL_MS => {
                     expired.push(key.clone());
                 }
+                None if key.kind == SuspectKind::Request
+                    && evidence.cleared_runs < evidence.runs.len()
+                    && now_ms < evidence.counted_ms + SUSPICION_TTL_MS => {}
                 None if now_ms >= evidence.counted_ms + CLEARED_TTL_MS => {
                     expired.push(key.clone());
                 }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -829,7 +829,9 @@
         let connection = match is_whole {
             true => {
                 self.connections.release(&slot.target, connection);
-                slot.record_completion();
+                if verdict == EndVerdict::Whole {
+                    slot.record_completion();
+                }
                 None
             }
             false => Some(connection),
@@ -864,6 +866,7 @@
         *response.headers_mut() = strip_hop_by_hop(parts.headers);
         if framing == Framing::Connection {
             *response.version_mut() = UNFRAMED_VERSION;
+            response.headers_mut().remove(header::CONTENT_LENGTH);
         }
         Ok(Some(GatewayResponse::Buffered(response)))
     }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -131,6 +131,7 @@
         let (mut parts, body) = response.into_parts();
         if is_unframed {
             parts.version = UNFRAMED_VERSION;
+            parts.headers.remove(header::CONTENT_LENGTH);
         }
         parts.headers = strip_hop_by_hop(parts.headers);
         let has_events = incoming.route.streams && events::is_event_stream(&parts.headers);
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -48,7 +48,10 @@
     driver: JoinHandle<()>,
     idle_timeout_ms: u64,
     last_used: Instant,
+    /// Whether an earlier request was sent on it.
     is_reused: bool,
+    /// Whether it was kept idle, so that its target may have closed it meanwhile.
+    is_pooled: bool,
 }
 
 impl Drop for Connection {
@@ -150,7 +153,7 @@
                 Err(mut failure) => match failure.take_message() {
                     // The idle connection closed before anything was sent; a new one is less
                     // likely to.
-                    Some(unsent) if connection.is_reused => {
+                    Some(unsent) if connection.is_pooled => {
                         request = unsent;
                         connection = self.connect(target).await?;
                     }
@@ -180,7 +183,8 @@
         self.keep(target, connection);
     }
 
-    fn keep(&self, target: &TargetEntry, connection: Connection) {
+    fn keep(&self, target: &TargetEntry, mut connection: Connection) {
+        connection.is_pooled = true;
         let is_kept = connection.idle_timeout_ms > 0 && !self.is_reuse_suspended(target);
         if is_kept && !connection.sender.is_closed() {
             self.idle().entry(key(target)).or_default().push(connection);
@@ -297,6 +301,7 @@
         idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
         last_used: Instant::now(),
         is_reused: false,
+        is_pooled: false,
     })
 }
 
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -667,6 +667,29 @@
     );
 }
 
+/// Guards against a request that is blocked for crashes of which an answer has cleared it, and against
+/// tables full of requests that are never sent again.
+#[test]
+fn crashes_before_an_answer_do_not_count() {
+    let mut suspects = Suspects::default();
+    suspects.report(&crash_of(50, 101, 1), true, 1000, 1000);
+    let is_known = |suspects: &Suspects| {
+        let mut known = known(suspects).into_iter();
+        known.any(|one| one.key.kind == SuspectKind::Request)
+    };
+    assert!(!is_known(&suspects), "one crash");
+    suspects.report(&crash_of(50, 102, 2), true, 1000, 1000);
+    assert!(is_known(&suspects));
+    let mut cleared = testimony(50, 2, Testimony::Cleared);
+    cleared.testimonies[0].key.kind = SuspectKind::Request;
+    suspects.report(&cleared, true, 1500, 1500);
+    assert!(!is_known(&suspects));
+    for (run, expected) in [(3, false), (4, false), (5, true)] {
+        suspects.report(&crash_of(50, 100 + run, run), true, 2000, 1000);
+        assert_eq!(is_blocked(&suspects, SuspectKind::Request, 50), expected);
+    }
+}
+
 /// Guards against a request that crashes targets and is taken for one that ran beside another.
 #[test]
 fn a_request_that_was_at_the_same_crashes_as_a_blocked_one_is_blocked() {
