--- a/src/control/suspects.rs
+++ b/src/control/suspects.rs
@@ -350,7 +350,7 @@
             Testimony::Cleared => {
                 tracing::info!(
                     service = %report.key.service, kind = %report.key.kind, part = %report.key.id,
-                    crashes = known.crashes, was_blocked = known.is_blocked, "control: part cleared"
+                    crashes = known.crashes, was_blocked = known.is_blocked, "control: suspect cleared"
                 );
                 if let Some(evidence) = self.evidence.get_mut(&report.key) {
                     evidence.cleared_runs = evidence.runs.len();
@@ -383,7 +383,7 @@
             suspect.trial_by = None;
             tracing::warn!(
                 service = %key.service, kind = %key.kind, part = %key.id, crashes = suspect.crashes,
-                block_ms = suspect.block_ms, "control: part blocked"
+                block_ms = suspect.block_ms, "control: suspect blocked"
             );
         });
     }
@@ -458,7 +458,7 @@
             let gateway = &gateways[position as usize];
             tracing::info!(
                 service = %key.service, kind = %key.kind, part = %key.id, %gateway,
-                "control: gateway may try a blocked part"
+                "control: gateway may try a blocked suspect"
             );
             self.table
                 .update(&key, |suspect| suspect.trial_by = Some(gateway.clone()));
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -14,7 +14,7 @@
     retry_after::retry_after_ms,
     retry_budget::RetryBudget,
     stop_time::StopTime,
-    suspects::SuspectedParts,
+    suspects::CrashSuspects,
     targets::{SlotGuard, SlotQuery, Targets},
 };
 use crate::{
@@ -88,7 +88,7 @@
     /// This gateway's local shares of the quotas.
     pub local_quotas: Mutex<LocalQuotas>,
     /// Requests and parts of prompts that are suspected to crash targets.
-    pub suspected_parts: Mutex<SuspectedParts>,
+    pub crash_suspects: Mutex<CrashSuspects>,
     /// When this gateway is killed.
     pub stop_time: StopTime,
 }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -6,7 +6,7 @@
     connections::refuses_connections,
     dialect::TrafficDialect,
     incoming_request::IncomingRequest,
-    suspects::{CrashVerdict, SuspectTraits, SuspectedParts},
+    suspects::{CrashSuspects, CrashVerdict, SuspectTraits},
     targets::SlotGuard,
 };
 use crate::{
@@ -139,8 +139,8 @@
         self.view.report_suspects(reports);
     }
 
-    fn suspects(&self) -> MutexGuard<'_, SuspectedParts> {
-        let mut suspects = self.suspected_parts.lock().expect("no holder panics");
+    fn suspects(&self) -> MutexGuard<'_, CrashSuspects> {
+        let mut suspects = self.crash_suspects.lock().expect("no holder panics");
         suspects.update(&self.view.load().suspects, clock::boot_ms());
         suspects
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -11,7 +11,7 @@
     refusal_response,
     retry_budget::RetryBudget,
     stop_time::StopTime,
-    suspects::SuspectedParts,
+    suspects::CrashSuspects,
     targets::Targets,
 };
 use crate::{
@@ -187,7 +187,7 @@
             connections: ConnectionPool::default(),
             retry_budget: RetryBudget::new(settings.repeats).into(),
             local_quotas: LocalQuotas::new(settings.quota_tolerance.units).into(),
-            suspected_parts: SuspectedParts::default().into(),
+            crash_suspects: CrashSuspects::default().into(),
             stop_time: StopTime::default(),
         });
         let shared = Arc::new(Shared {
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -39,7 +39,7 @@
 pub struct SuspectTraits {
     /// Parts of its prompt that other requests may share.
     pub parts: Vec<PartId>,
-    /// Digest of the request, if it is needed: see [`SuspectedParts::knows_requests`].
+    /// Digest of the request, if it is needed: see [`CrashSuspects::knows_requests`].
     pub request: Option<PartId>,
 }
 
@@ -79,14 +79,14 @@
 
 /// The suspects that a gateway knows, and its reports.
 #[derive(Default)]
-pub struct SuspectedParts {
+pub struct CrashSuspects {
     updated_from: Arc<BTreeMap<SuspectKey, Suspect>>,
     known: BTreeMap<SuspectKey, KnownSuspect>,
     crashes: VecDeque<(u64, CrashReport)>,
     testimonies: VecDeque<(u64, TestimonyReport)>,
 }
 
-impl SuspectedParts {
+impl CrashSuspects {
     /// Takes over what the leader suspects.
     pub fn update(&mut self, suspects: &Arc<BTreeMap<SuspectKey, Suspect>>, now_ms: u64) {
         if Arc::ptr_eq(&self.updated_from, suspects) {
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -5,7 +5,7 @@
     control::suspects::*,
     gateway::{
         PromptPart,
-        suspects::{CrashVerdict, SuspectTraits, SuspectedParts},
+        suspects::{CrashSuspects, CrashVerdict, SuspectTraits},
     },
     units::*,
 };
@@ -85,7 +85,7 @@
 
 struct GatewayState {
     name: ProcessName,
-    suspected: SuspectedParts,
+    suspected: CrashSuspects,
     known: Arc<BTreeMap<SuspectKey, Suspect>>,
     seen: Option<SuspectsPosition>,
     next_renewal_ms: u64,
@@ -127,7 +127,7 @@
     let mut gateways: Vec<GatewayState> = (0..day.gateways)
         .map(|number| GatewayState {
             name: ProcessName(format!("gateway-{number}")),
-            suspected: SuspectedParts::default(),
+            suspected: CrashSuspects::default(),
             known: Arc::default(),
             seen: None,
             next_renewal_ms: random.random_range(0..800),
@@ -587,7 +587,7 @@
 }
 
 #[test]
-fn the_number_of_suspected_parts_is_bounded_and_blocks_stay() {
+fn the_number_of_crash_suspects_is_bounded_and_blocks_stay() {
     let mut suspects = with_block();
     for part in 100..5000 {
         suspects.report(&crash(part, part), true, 3000 + part, 3000 + part);
@@ -712,7 +712,7 @@
 /// the two that it has crashed there.
 #[test]
 fn a_gateway_counts_the_crashes_that_it_has_seen_itself() {
-    let mut gateway = SuspectedParts::default();
+    let mut gateway = CrashSuspects::default();
     let traits = SuspectTraits {
         parts: Vec::new(),
         request: Some(PartId(50)),
@@ -748,7 +748,7 @@
 #[test]
 fn a_request_is_kept_from_other_targets_only_for_a_part_of_several_crashes() {
     let mut suspects = Suspects::default();
-    let mut gateway = SuspectedParts::default();
+    let mut gateway = CrashSuspects::default();
     let view = |suspects: &Suspects| {
         let known = known(suspects).into_iter();
         Arc::new(known.map(|one| (one.key.clone(), one)).collect())
