Let stand-in targets stop listening before a crash closes their connections

Traced with its kept logs: the gateway's line says is_whole=true, so the target accepted a connection after it had closed that of the answer. No check changed.

--- a/tests/unframed_outcomes.rs
+++ b/tests/unframed_outcomes.rs
@@ -43,7 +43,16 @@
     after: After,
 }
 
-async fn answer(mut stream: TcpStream, answer: Answer, crash: Arc<watch::Sender<bool>>) {
+/// How far a crash has come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Crash {
+    None,
+    Begun,
+    /// The target does not listen any more.
+    Unheard,
+}
+
+async fn answer(mut stream: TcpStream, answer: Answer, crash: Arc<watch::Sender<Crash>>) {
     let mut request = Vec::new();
     while !request.windows(4).any(|end| end == b"\r\n\r\n") {
         if stream.read_buf(&mut request).await.unwrap_or(0) == 0 {
@@ -59,14 +68,15 @@
     let _ = stream.write_all((head + answer.text).as_bytes()).await;
     sleep_ms(300).await;
     if !matches!(answer.after, After::Close) {
-        crash.send_replace(true);
-        sleep_ms(20).await;
+        crash.send_replace(Crash::Begun);
+        let mut crash = crash.subscribe();
+        let _ = crash.wait_for(|crash| *crash == Crash::Unheard).await;
     }
 }
 
 /// Serves connections until the target crashes; then they are refused.
 async fn serve(listener: TcpListener, script: Answer) {
-    let crash = Arc::new(watch::Sender::new(false));
+    let crash = Arc::new(watch::Sender::new(Crash::None));
     let mut crashed = crash.subscribe();
     loop {
         tokio::select! {
@@ -75,7 +85,11 @@
                     tokio::spawn(answer(stream, script, Arc::clone(&crash)));
                 }
             }
-            _ = crashed.changed() => return,
+            _ = crashed.changed() => {
+                drop(listener);
+                crash.send_replace(Crash::Unheard);
+                return;
+            }
         }
     }
 }
