--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -1,37 +1,28 @@
-//! Case 3: a gateway is killed while it relays a stream that its server sends without a length.
-//! Its client takes the part that came for the whole answer.
+//! Case 3: an invalid configuration of many routes keeps every control instance busy for minutes.
+//! Meanwhile none of them answers a read of the configuration.
 
 #[path = "../common/harness.rs"]
 mod harness;
 
 use harness::*;
 use std::{
-    io::Write,
-    net::TcpListener,
     path::Path,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-const GATEWAYS: u8 = 7;
-const SERVERS: u8 = 10;
-const SLOTS: u32 = 5;
-/// One run in this many is answered without a length: 0.025, half of the servers' dose of 0.05.
-const CLIENTS: usize = 40;
-const EVENTS: usize = 13;
-const EVENT_PAUSE_MS: u64 = 150;
-
-fn event(number: usize) -> String {
-    format!("id: {number}\ndata: piece {number} of {EVENTS}\n\n")
-}
-
-fn whole_answer() -> String {
-    (1..=EVENTS).map(event).collect()
-}
+/// The largest growth of a configuration in the site file.
+const ROUTES: usize = 1400;
+/// Time without a response after which the operator moves on: more than a second, as the body is
+/// large.
+const RESPONSE_LIMIT: Duration = Duration::from_secs(3);
+const SENDING: Duration = Duration::from_secs(15);
+/// Five times `contact_ms`.
+const READING: Duration = Duration::from_secs(20);
 
 fn main() {
     let folder = std::env::args().nth(1).expect("usage: case3 FOLDER");
@@ -39,117 +30,81 @@
     finish(run(&record));
 }
 
-/// Writes the stream, with chunks or, if `is_unframed`, ended by its connection.
-fn answer(request: &Request, stream: &mut std::net::TcpStream, is_unframed: bool) -> std::io::Result<()> {
-    let framing = match is_unframed {
-        true => "Connection: close\r\n",
-        false => "Transfer-Encoding: chunked\r\n",
-    };
-    let head = answer_head(request, &format!("Content-Type: text/event-stream\r\n{framing}"));
-    stream.write_all(head.as_bytes())?;
-    for number in 1..=EVENTS {
-        thread::sleep(Duration::from_millis(EVENT_PAUSE_MS));
-        let text = event(number);
-        match is_unframed {
-            true => stream.write_all(text.as_bytes())?,
-            false => stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?,
-        }
-    }
-    match is_unframed {
-        true => Ok(()),
-        false => stream.write_all(b"0\r\n\r\n"),
-    }
-}
-
 fn run(record: &Arc<Record>) -> i32 {
-    let Some(deployment) = Deployment::new(Arc::clone(record), vec![1, 2, 3]) else {
+    let Some(mut deployment) = Deployment::new(Arc::clone(record), vec![1, 2, 3]) else {
         return COULD_NOT_RUN;
     };
-    let mut processes: Vec<Process> = (1..=3)
+    deployment.one_core = true;
+    let controls: Vec<Process> = (1..=3)
         .map(|host| deployment.control(host, &format!("z-{host}"), true))
         .collect();
-    let mut gateways: Vec<Process> = (0..GATEWAYS)
-        .map(|number| deployment.gateway(11 + number, &format!("z-{}", 1 + number % 3)))
-        .collect();
     let stop = Arc::new(AtomicBool::new(false));
-    let runs = Arc::new(AtomicUsize::new(0));
-    for number in 0..SERVERS {
-        let host = 21 + number;
-        processes.push(deployment.admission(host, "z-1"));
-        let address = deployment.network.address(host, SERVER_PORT);
-        let Ok(listener) = TcpListener::bind(address) else {
-            return COULD_NOT_RUN;
-        };
-        let server = Server::new(&format!("i-llm-{number}"), "llm", address, SLOTS);
-        let (log, runs) = (Arc::clone(record), Arc::clone(&runs));
-        serve(listener, server.id.clone(), move |request, stream| {
-            let id = request.header("x-guavacove-request-id").unwrap_or("").to_string();
-            let is_unframed = runs.fetch_add(1, Ordering::Relaxed) % CLIENTS == CLIENTS / 2;
-            log.line(format!("server: runs {id}, without a length: {is_unframed}"));
-            let written = answer(request, stream, is_unframed).is_ok();
-            log.line(format!("server: ends {id}, written: {written}"));
-            written && !is_unframed
-        });
-        server.beat_forever(deployment.control_addresses(), Arc::clone(&stop));
-    }
-    let text = config(1, &[route("draft", "streaming", "llm")], &[("llm", true)]);
-    if put_config(&deployment, &text, Duration::from_secs(20)) != Some(200) {
-        record.line("the configuration was not accepted");
-        return COULD_NOT_RUN;
-    }
-    let front = deployment.network.address(11, FRONTEND_PORT);
-    let is_served = eventually(Duration::from_secs(20), || {
-        is_ready(&deployment, 11)
-            && ask(front, "calm", "POST", "/draft/1", b"x", 6000, |_| {}).body == whole_answer().as_bytes()
-    });
-    if !is_served {
-        record.line("a calm request was not served");
+    let server = Server::new("i-llm-1", "llm", deployment.network.address(21, SERVER_PORT), 5);
+    let routes: Vec<Route> = (0..ROUTES)
+        .map(|number| route(&format!("p{number}"), "streaming", "llm"))
+        .collect();
+    let services = [("llm", true), ("filing", false)];
+    let first = config(1, &routes, &services);
+    if put_config(&deployment, &first, Duration::from_secs(20)) != Some(200) {
+        record.line("the first configuration was not accepted");
         return COULD_NOT_RUN;
     }
-    // The servers' heartbeats have reached the gateway.
-    thread::sleep(Duration::from_millis(2 * HEARTBEAT_MS));
-    runs.store(0, Ordering::Relaxed);
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let log = Arc::clone(record);
-            thread::spawn(move || {
-                let id = format!("c3-{number}");
-                log.line(format!("client: sends {id}"));
-                let response = ask(front, &id, "POST", "/draft/1", b"x", 6000, |_| {});
+    record.line(format!("operator: version 1, {ROUTES} routes, {} bytes, acknowledged", first.len()));
+    let addresses = deployment.control_addresses();
+    // With the disruption, the services lack the one that the routes name.
+    let second = match trouble() {
+        true => config(2, &routes, &services[1..]),
+        false => config(2, &routes, &services),
+    };
+    let sender = {
+        let (log, stop, addresses) = (Arc::clone(record), Arc::clone(&stop), addresses.clone());
+        thread::spawn(move || {
+            let mut pause = Duration::from_millis(250);
+            for address in addresses.iter().cycle() {
+                if stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                let response = call_control(*address, "PUT", "/config", second.as_bytes(), RESPONSE_LIMIT);
                 log.line(format!(
-                    "client: {id} status={} signature={:?} body={} of {} bytes, end={:?}",
-                    response.status,
-                    response.header("x-guavacove-server-signature"),
-                    response.body.len(),
-                    whole_answer().len(),
-                    response.end,
+                    "operator: version 2 sent to {address}: status {}, end={:?}",
+                    response.status, response.end
                 ));
-                response
-            })
+                if matches!(response.status, 200 | 400 | 409 | 412 | 413 | 422) {
+                    return;
+                }
+                thread::sleep(pause);
+                pause = (pause * 2).min(Duration::from_secs(2));
+            }
         })
-        .collect();
-    thread::sleep(Duration::from_millis(EVENT_PAUSE_MS * 8));
-    if trouble() {
-        record.line("platform: SIGKILL of the gateway");
-        gateways[0].kill();
+    };
+    thread::sleep(SENDING);
+    record.line("operator: the day ends, the configuration is read back");
+    let began = Instant::now();
+    let (mut reads, mut answered, mut beats, mut acknowledged) = (0, 0, 0, 0);
+    while began.elapsed() < READING {
+        for address in &addresses {
+            let response = call_control(*address, "GET", "/config", b"", Duration::from_secs(1));
+            let version = String::from_utf8_lossy(&response.body).chars().take(12).collect::<String>();
+            record.line(format!("operator: read at {address}: status {} {version}", response.status));
+            reads += 1;
+            answered += usize::from(response.status == 200);
+        }
+        beats += 1;
+        acknowledged += usize::from(server.beat(&addresses));
+        thread::sleep(Duration::from_millis(200));
     }
-    let responses: Vec<Response> = clients.into_iter().map(|client| client.join().unwrap()).collect();
     stop.store(true, Ordering::Relaxed);
-    let is_whole = |response: &&Response| response.body == whole_answer().as_bytes();
-    let looks_served = |response: &&Response| {
-        response.status == 200
-            && response.header("x-guavacove-server-signature") == Some(SIGNATURE)
-            && response.looks_complete()
-    };
-    let served: Vec<&Response> = responses.iter().filter(looks_served).collect();
-    let broken = served.iter().filter(|response| !is_whole(response)).count();
+    for control in &controls {
+        record.line(format!("{}: {} ms of processor time", control.name, control.cpu_ms()));
+    }
     record.line(format!(
-        "{} of {CLIENTS} answers look complete, {broken} of them are only a part of the server's",
-        served.len()
+        "{answered} of {reads} reads were answered, {acknowledged} of {beats} heartbeats acknowledged"
     ));
-    match (broken, trouble()) {
-        (0, false) if served.len() < CLIENTS * 9 / 10 => COULD_NOT_RUN,
-        (0, _) => HELD,
-        _ => BROKEN,
+    drop(controls);
+    let _ = sender.join();
+    match (answered, trouble()) {
+        (0, true) => BROKEN,
+        (0, false) => COULD_NOT_RUN,
+        _ => HELD,
     }
 }
--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -198,7 +198,7 @@
     pub folder: PathBuf,
     repository: PathBuf,
     /// Hosts of the instances whose addresses the settings name.
-    seeds: Vec<u8>,
+    pub seeds: Vec<u8>,
     /// Whether each process sees one core, as on the platform's machines.
     pub one_core: bool,
     started: AtomicU64,
@@ -315,6 +315,15 @@
         }
     }
 
+    /// Starts a control instance of a machine without a disk.
+    pub fn diskless_control(&self, host: u8, zone: &str, bootstrap: bool) -> Process {
+        let name = format!("control-{host}");
+        let mut fields = self.fields(&name, host, zone, bootstrap);
+        fields.insert("data_dir".into(), String::new());
+        let settings = self.fill("control.yaml", &fields);
+        self.start("control", &name, &settings)
+    }
+
     pub fn control(&self, host: u8, zone: &str, bootstrap: bool) -> Process {
         let name = format!("control-{host}");
         let fields = self.fields(&name, host, zone, bootstrap);
