--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-/// Machines without a disk that are down together: three of the seven that take requests.
+/// Machines without a disk that are down together: three of six, a share of 0.5.
 const DISKLESS: [u8; 3] = [4, 5, 6];
 /// `for_s` of `herd_kill` in the site file.
 const DOWN: Duration = Duration::from_secs(2);
