Replace a lost voter before the next loss must be borne

Callers saw: after two machines of the core had been replaced in turn, no control instance led again, and the acknowledged document could not be read.

Cause: a voter's silence was counted from the election of the present leader, and for 8 s. Its successor had the log within a second and stood by as a learner, while the group ran on two of three voters. Each change of leader began the wait anew; one between promotion and removal left four voters, one of them gone, for another 8 s.

Ruled out: slow discovery or catching up (AddLearner is committed within a second of the successor's start in the case's log); removal before promotion, which loses the group if the voter is only cut off and another disk is lost.

Change: every instance counts the silence of the others itself, while it runs and hears a majority, so that nothing starts over with a leader; 3.2 s instead of 8 s; the removal is proposed as soon as the promotion is committed; a learner that is still behind no longer blocks one that has caught up.

--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -246,6 +246,23 @@
         }
     }
 
+    /// The learners that hold all committed entries; empty unless leader.
+    pub fn caught_up_learners(&self) -> BTreeSet<ReplicaId> {
+        let Role::Leader(leader_state) = &self.role else {
+            return BTreeSet::new();
+        };
+        let learners = self.membership().learners.iter();
+        learners
+            .filter(|id| self.is_caught_up(leader_state, **id))
+            .copied()
+            .collect()
+    }
+
+    fn is_caught_up(&self, leader_state: &LeaderState, id: ReplicaId) -> bool {
+        let progress = leader_state.progress.get(&id);
+        progress.is_some_and(|progress| R::is_caught_up(progress.match_index, self.commit_index))
+    }
+
     /// Processes one input at `now_ms` of this replica's monotonic clock.
     pub fn step(&mut self, now_ms: u64, input: Input) -> Effects {
         let before = self.hard.clone();
@@ -437,12 +454,7 @@
                 Some(ProposeError::ChangeInProgress)
             }
             (Role::Leader(leader_state), MembershipChange::Promote(id)) => {
-                let match_index = leader_state
-                    .progress
-                    .get(id)
-                    .map(|progress| progress.match_index);
-                let caught_up =
-                    match_index.is_some_and(|at| R::is_caught_up(at, self.commit_index));
+                let caught_up = self.is_caught_up(leader_state, *id);
                 (!caught_up).then_some(ProposeError::NotCaughtUp)
             }
             (Role::Leader(_), _) => None,
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -45,15 +45,15 @@
 /// Interval between clock ticks of the replica.
 pub const TICK_MS: u64 = 25;
 /// Interval between presence messages to the other instances.
-const PRESENCE_INTERVAL_MS: u64 = 300;
+pub const PRESENCE_INTERVAL_MS: u64 = 300;
 /// Interval between presence messages while no leader is known; equals the reconnect delay
 /// of a broken link.
 const LEADERLESS_PRESENCE_INTERVAL_MS: u64 = 100;
 /// Time after its last presence message until an instance counts as absent.
 pub const PRESENCE_TIMEOUT_MS: u64 = 1500;
-/// Time without a presence message after which a voter may be replaced. Longer than a restart
-/// or a brief network partition, neither of which should change the membership.
-pub const VOTER_TIMEOUT_MS: u64 = 8000;
+/// Time without a presence message after which a member is replaced, if another replica is at
+/// hand. A machine that succeeds a lost one must be a voter before the next one is lost.
+pub const VOTER_TIMEOUT_MS: u64 = 3200;
 /// Delay before a failed disk write is retried.
 const DISK_RETRY_DELAY_MS: u64 = 100;
 /// Time that disk writes may keep failing before the replica stops.
@@ -441,7 +441,9 @@
         }
         let version_before = self.control.document().version;
         let mut has_order = false;
+        let mut has_membership = false;
         for entry in committed {
+            has_membership |= matches!(entry.payload, Payload::Membership(_));
             has_order |= self.apply(entry)?;
         }
         let changed = self.control.document().version > version_before;
@@ -451,6 +453,10 @@
         if changed || has_order {
             self.reply_to_changed();
         }
+        // Between the two steps of a replacement the group needs one more voter for a quorum.
+        if has_membership && self.check_leading().is_ok() {
+            self.repair_membership(self.now_ms())?;
+        }
         Ok(refused)
     }
 
@@ -473,6 +479,7 @@
     fn tick(&mut self) -> Result<(), ActorProcessingErr> {
         self.step(Input::Tick)?;
         let now_ms = self.now_ms();
+        self.roster.observe(self.core.membership(), now_ms);
         let leads = self.check_lease().is_ok();
         self.had_leader |= self
             .core
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -85,10 +85,11 @@
 
     /// Proposes the next membership change that the group needs, if any.
     pub(super) fn repair_membership(&mut self, now_ms: u64) -> Result<(), ActorProcessingErr> {
-        let membership = self.core.membership();
-        let change = self
-            .roster
-            .next_membership_change(membership, self.leader_since_ms, now_ms);
+        let change = self.roster.next_membership_change(
+            self.core.membership(),
+            &self.core.caught_up_learners(),
+            now_ms,
+        );
         if let Some(change) = change
             && self.step(Input::Change(change.clone()))?.is_none()
         {
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -86,6 +86,9 @@
     discovery: Discovery,
     presences: BTreeMap<SocketAddr, PresenceRecord>,
     addresses: BTreeMap<ReplicaId, InstanceAddresses>,
+    /// Time since which this instance has run without a pause and heard a majority of the voters.
+    hears_majority_since_ms: u64,
+    observed_ms: u64,
 }
 
 impl Roster {
@@ -107,6 +110,21 @@
             discovery,
             presences: BTreeMap::new(),
             addresses: known_addresses,
+            hears_majority_since_ms: 0,
+            observed_ms: 0,
+        }
+    }
+
+    /// Records whom this instance hears; called at each tick. What it did not hear while it was
+    /// suspended or cut off says nothing about the others.
+    pub fn observe(&mut self, membership: &Membership, now_ms: u64) {
+        let was_suspended = now_ms > self.observed_ms + PRESENCE_TIMEOUT_MS;
+        self.observed_ms = now_ms;
+        let heard = present_instances(&self.presences, now_ms).map(|presence| presence.replica);
+        let heard: BTreeSet<ReplicaId> = heard.chain([self.own]).collect();
+        let heard_voters = membership.voters.intersection(&heard).count();
+        if was_suspended || heard_voters <= membership.voters.len() / 2 {
+            self.hears_majority_since_ms = now_ms;
         }
     }
 
@@ -273,11 +291,25 @@
         group.iter().filter(joined).count() > group.len() / 2
     }
 
-    /// The next membership change that the group needs; `None` if it needs none.
+    /// The next membership change that the group needs; `None` if it needs none. `caught_up` are
+    /// the learners that hold all committed entries. The first row that applies decides:
+    ///
+    /// | state of the group | change |
+    /// |---|---|
+    /// | the instance of an absent voter is present with another disk, which is a voter | remove the absent one |
+    /// | the instance of an absent learner is present with another disk | remove the absent one |
+    /// | an even number of voters, one of them silent | remove the silent one |
+    /// | a silent learner | remove it |
+    /// | a present replica is no member | add it as a learner |
+    /// | a voter is silent or has another disk, or the number of voters is even or may grow | promote a present learner that has caught up |
+    ///
+    /// A successor is promoted before its predecessor is removed: the predecessor may only be cut
+    /// off, and the group then survives the loss of another disk at any moment. An even number of
+    /// voters thus marks a replacement that the next leader must finish.
     pub fn next_membership_change(
         &self,
         membership: &Membership,
-        leader_since_ms: u64,
+        caught_up: &BTreeSet<ReplicaId>,
         now_ms: u64,
     ) -> Option<MembershipChange> {
         let any_durable = self.is_durable
@@ -301,14 +333,15 @@
             .learners
             .iter()
             .find(|old| !present.contains(old) && replacement(old).is_some());
-        let may_replace_silent = now_ms > leader_since_ms + VOTER_TIMEOUT_MS;
-        let silent = |id: &&ReplicaId| {
-            may_replace_silent && **id != self.own && !self.is_replica_alive(**id, now_ms)
-        };
+        let silent =
+            |id: &&ReplicaId| **id != self.own && self.silent_ms(**id, now_ms) >= VOTER_TIMEOUT_MS;
         let silent_voter = membership.voters.iter().find(silent);
         let silent_learner = membership.learners.iter().find(silent);
         let new_replica = present.iter().find(|id| !membership.contains(**id));
-        let learner = membership.learners.iter().find(|id| present.contains(id));
+        let successor = membership
+            .learners
+            .iter()
+            .find(|id| present.contains(id) && caught_up.contains(id));
         let learners = membership.learners.intersection(&present).count();
         let voters = membership.voters.len();
         let needs_voter = match &self.discovery {
@@ -317,8 +350,7 @@
                 let silent_or_replaced =
                     |old: &ReplicaId| silent(&old) || replacement(old).is_some();
                 // Voters are added up to the maximum, but only while two learners are present, so
-                // that their number becomes odd again. A learner is also promoted if the number
-                // is even, and to succeed a voter that is silent or replaced.
+                // that their number becomes odd again.
                 let grows = learners >= 2 && voters + 2 <= MAX_VOTERS;
                 voters.is_multiple_of(2)
                     || grows
@@ -327,12 +359,9 @@
         };
         let seeds = matches!(self.discovery, Discovery::Seeds(_));
         match () {
-            // Replicas whose instance is present with another disk; a voter only once the new
-            // replica is a voter too.
             () if let Some(id) = replaced_voter => Some(MembershipChange::Remove(*id)),
             () if let Some(id) = replaced_learner => Some(MembershipChange::Remove(*id)),
-            // Only while the number of voters is even, as after the promotion of a successor, so
-            // that the removal makes it odd. Listed instances stay voters while they are silent.
+            // Listed instances stay voters while they are silent.
             () if let Some(id) = silent_voter
                 && seeds
                 && voters.is_multiple_of(2) =>
@@ -345,7 +374,7 @@
                 Some(MembershipChange::Remove(*id))
             }
             () if let Some(id) = new_replica => Some(MembershipChange::AddLearner(*id)),
-            () if let Some(id) = learner
+            () if let Some(id) = successor
                 && needs_voter =>
             {
                 Some(MembershipChange::Promote(*id))
@@ -354,6 +383,15 @@
         }
     }
 
+    /// Time for which this instance has heard nothing from a replica, although it heard a majority.
+    /// It does not start over with a new leader.
+    fn silent_ms(&self, id: ReplicaId, now_ms: u64) -> u64 {
+        let received = self.presences.values();
+        let received = received.filter(|record| record.presence.replica == id);
+        let heard_ms = received.map(|record| record.received_ms).max();
+        now_ms.saturating_sub(heard_ms.unwrap_or(0).max(self.hears_majority_since_ms))
+    }
+
     /// Whether two replicas are different disks of one instance.
     fn is_same_instance(&self, old: &ReplicaId, new: &ReplicaId) -> bool {
         match &self.discovery {
@@ -364,12 +402,6 @@
             }
         }
     }
-
-    fn is_replica_alive(&self, id: ReplicaId, now_ms: u64) -> bool {
-        self.presences.values().any(|record| {
-            record.presence.replica == id && now_ms < record.received_ms + VOTER_TIMEOUT_MS
-        })
-    }
 }
 
 /// The instances whose last presence message has not timed out.
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -49,6 +49,11 @@
     )
 }
 
+/// The next change, if every learner has caught up.
+fn next_change(roster: &Roster, membership: &Membership, now_ms: u64) -> Option<MembershipChange> {
+    roster.next_membership_change(membership, &membership.learners, now_ms)
+}
+
 fn members(voters: &[u64], learners: &[u64]) -> Membership {
     Membership {
         voters: voters.iter().copied().map(id).collect(),
@@ -112,22 +117,16 @@
     let mut roster = roster(1, 1, true);
     record_all(&mut roster, &[(2, 2), (3, 3)], 10);
     let before = members(&[1, 2, 3], &[]);
-    assert_eq!(roster.next_membership_change(&before, 0, 20), None);
+    assert_eq!(next_change(&roster, &before, 20), None);
     roster.record_presence(presence(33, 3, false, false), 30);
     let add = MembershipChange::AddLearner(id(33));
-    assert_eq!(roster.next_membership_change(&before, 0, 40), Some(add));
+    assert_eq!(next_change(&roster, &before, 40), Some(add));
     let learning = members(&[1, 2, 3], &[33]);
     let promote = MembershipChange::Promote(id(33));
-    assert_eq!(
-        roster.next_membership_change(&learning, 0, 40),
-        Some(promote)
-    );
+    assert_eq!(next_change(&roster, &learning, 40), Some(promote));
     let promoted = members(&[1, 2, 3, 33], &[]);
     let remove = MembershipChange::Remove(id(3));
-    assert_eq!(
-        roster.next_membership_change(&promoted, 0, 40),
-        Some(remove)
-    );
+    assert_eq!(next_change(&roster, &promoted, 40), Some(remove));
 }
 
 #[test]
@@ -137,28 +136,19 @@
     roster.record_presence(presence(2, 2, false, true), LONG_MS);
     let three = members(&[1, 2, 3], &[]);
     assert_eq!(
-        roster.next_membership_change(&three, 0, LONG_MS + 10),
+        next_change(&roster, &three, LONG_MS + 10),
         None,
         "no replacement is present"
     );
     roster.record_presence(presence(4, 4, false, false), LONG_MS);
     let add = MembershipChange::AddLearner(id(4));
-    assert_eq!(
-        roster.next_membership_change(&three, 0, LONG_MS + 10),
-        Some(add)
-    );
+    assert_eq!(next_change(&roster, &three, LONG_MS + 10), Some(add));
     let promote = MembershipChange::Promote(id(4));
     let learning = members(&[1, 2, 3], &[4]);
-    assert_eq!(
-        roster.next_membership_change(&learning, 0, LONG_MS + 10),
-        Some(promote)
-    );
+    assert_eq!(next_change(&roster, &learning, LONG_MS + 10), Some(promote));
     let remove = MembershipChange::Remove(id(3));
     let promoted = members(&[1, 2, 3, 4], &[]);
-    assert_eq!(
-        roster.next_membership_change(&promoted, 0, LONG_MS + 10),
-        Some(remove)
-    );
+    assert_eq!(next_change(&roster, &promoted, LONG_MS + 10), Some(remove));
 }
 
 #[test]
@@ -166,16 +156,13 @@
     let mut roster = roster(1, 1, true);
     record_all(&mut roster, &[(2, 2), (3, 3), (4, 4)], 10);
     record_all(&mut roster, &[(2, 2), (4, 4)], 3000);
-    assert_eq!(
-        roster.next_membership_change(&members(&[1, 2, 3], &[4]), 0, 3100),
-        None
-    );
+    assert_eq!(next_change(&roster, &members(&[1, 2, 3], &[4]), 3100), None);
 }
 
 /// Applies membership changes until none is needed.
 fn settle(roster: &Roster, mut membership: Membership, now_ms: u64) -> Membership {
     for _ in 0..40 {
-        match roster.next_membership_change(&membership, 0, now_ms) {
+        match next_change(roster, &membership, now_ms) {
             Some(change) => membership = membership.after(&change),
             None => return membership,
         }
@@ -203,8 +190,100 @@
         ..presence(4, 4, false, false)
     };
     roster.record_presence(diskless, 10);
+    assert_eq!(next_change(&roster, &members(&[1, 2, 3], &[]), 20), None);
+}
+
+/// Has a roster run from `from_ms` on, hearing these instances all the time, until `to_ms`.
+fn hear_all(
+    roster: &mut Roster,
+    membership: &Membership,
+    instances: &[(u64, u8)],
+    (from_ms, to_ms): (u64, u64),
+) {
+    for now_ms in (from_ms..=to_ms).step_by(100) {
+        record_all(roster, instances, now_ms);
+        roster.observe(membership, now_ms);
+    }
+}
+
+/// The successor of a lost voter is a voter before the next loss must be borne, also if it was the
+/// leader that was lost: silence counts from the last message, not from the election.
+#[test]
+fn a_lost_voter_is_replaced_without_waiting_for_long() {
+    let mut roster = roster(1, 1, true);
+    let learning = members(&[1, 2, 3], &[4]);
+    hear_all(&mut roster, &learning, &[(2, 2), (3, 3)], (100, 1000));
+    hear_all(&mut roster, &learning, &[(2, 2), (4, 4)], (1100, 4400));
+    assert_eq!(
+        next_change(&roster, &learning, 4400),
+        Some(MembershipChange::Promote(id(4)))
+    );
+}
+
+/// A replacement that the last leader has begun is finished by the next one: four voters, one of
+/// them lost, cannot bear another loss.
+#[test]
+fn a_replacement_that_has_begun_is_finished() {
+    let mut roster = roster(1, 1, true);
+    let promoted = members(&[1, 2, 3, 4], &[]);
+    hear_all(
+        &mut roster,
+        &promoted,
+        &[(2, 2), (3, 3), (4, 4)],
+        (100, 1000),
+    );
+    hear_all(&mut roster, &promoted, &[(2, 2), (4, 4)], (1100, 4400));
     assert_eq!(
-        roster.next_membership_change(&members(&[1, 2, 3], &[]), 0, 20),
-        None
+        next_change(&roster, &promoted, 4400),
+        Some(MembershipChange::Remove(id(3)))
     );
 }
+
+#[test]
+fn an_instance_that_was_cut_off_replaces_no_voter_that_it_did_not_hear() {
+    let mut roster = roster(1, 1, true);
+    let learning = members(&[1, 2, 3], &[4]);
+    hear_all(
+        &mut roster,
+        &learning,
+        &[(2, 2), (3, 3), (4, 4)],
+        (100, 1000),
+    );
+    hear_all(&mut roster, &learning, &[], (1100, 9000));
+    hear_all(&mut roster, &learning, &[(2, 2), (4, 4)], (9100, 9500));
+    assert_eq!(next_change(&roster, &learning, 9500), None);
+}
+
+#[test]
+fn time_in_which_an_instance_was_suspended_is_no_silence_of_the_others() {
+    let mut roster = roster(1, 1, true);
+    let learning = members(&[1, 2, 3], &[4]);
+    hear_all(
+        &mut roster,
+        &learning,
+        &[(2, 2), (3, 3), (4, 4)],
+        (100, 1000),
+    );
+    hear_all(&mut roster, &learning, &[(2, 2), (4, 4)], (9000, 9500));
+    assert_eq!(next_change(&roster, &learning, 9500), None);
+    hear_all(&mut roster, &learning, &[(2, 2), (4, 4)], (9600, 12_300));
+    assert_eq!(
+        next_change(&roster, &learning, 12_300),
+        Some(MembershipChange::Promote(id(4)))
+    );
+}
+
+/// A learner that is still behind does not hold up another one.
+#[test]
+fn only_a_learner_that_has_caught_up_is_promoted() {
+    let mut roster = roster(1, 1, true);
+    record_all(&mut roster, &[(2, 2), (3, 3)], 10);
+    record_all(&mut roster, &[(2, 2), (4, 4), (5, 5)], LONG_MS);
+    let learning = members(&[1, 2, 3], &[4, 5]);
+    let next = |caught_up: &[u64]| {
+        let caught_up = caught_up.iter().copied().map(id).collect();
+        roster.next_membership_change(&learning, &caught_up, LONG_MS + 10)
+    };
+    assert_eq!(next(&[]), None);
+    assert_eq!(next(&[5]), Some(MembershipChange::Promote(id(5))));
+}
