Check documents in linear time, away from the threads that serve calls

Callers saw: an invalid configuration of 1,400 routes got no answer, and kept each control instance that the operator tried busy for more than a minute; none answered a read or a target's announcement meanwhile.

Cause: for each error the check parsed the whole document again to find its line, so that its time grew with the square of the number of routes. It ran on the thread that serves the API and the links between the instances, where no time limit could interrupt it.

Ruled out: the schema validator and the compilation of the policy, which are linear (8 times the routes take 6 to 10 times as long, measured).

Change: the lines of all errors come from one parse, the schema is parsed once, at most 50 errors and 20 defined names are listed with the number of the others, and long values are cut. Long bodies are decoded and documents checked on a blocking thread, one at a time; the console does so, too. On related paths: the leader compiled the contracts of a document on its own thread, and parsed it twice; it now compiles once, elsewhere, and answers the requests for limits of a new document once that is done.

--- a/src/console/api.rs
+++ b/src/console/api.rs
@@ -103,7 +103,7 @@
         };
         let current = self.current_document().await?;
         let (current_yaml, yaml) = (to_yaml(&parse(&current)), to_yaml(&draft));
-        let compiled = Policy::compile(DocumentVersion(0), &yaml);
+        let compiled = tokio::task::block_in_place(|| Policy::compile(DocumentVersion(0), &yaml));
         let reply = json!({
             "version": current.version,
             "diff": diff_lines(&current_yaml, &yaml),
--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -6,7 +6,8 @@
 use super::{
     command::{Command, Reply},
     directory::TargetAnnouncement,
-    replica::{ReplicaMessage, ReplySender, validate_document, validate_version},
+    document_checks::DocumentChecks,
+    replica::{ReplicaMessage, ReplySender, validate_version},
     roster::InstanceAddresses,
     rpc::ControlError,
 };
@@ -20,6 +21,8 @@
 
 /// Maximum size of a call's body, in bytes: a document with thousands of routes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of a body that is decoded at once, between other calls.
+const MAX_INLINE_BYTES: usize = 64 * 1024;
 /// Time limit of a call; its caller then tries another instance.
 const CALL_TIMEOUT_MS: u64 = 3000;
 /// Maximum length of a path and of an error in the log, in bytes.
@@ -45,6 +48,8 @@
     Withdraw(TargetName),
     /// The call could not be decoded, with the reason.
     Invalid(String),
+    /// Decoding the call failed for another reason.
+    Failed(String),
     /// There is no such call.
     Unknown,
 }
@@ -98,10 +103,11 @@
     address: SocketAddr,
     dialect: D,
     replica: ActorRef<ReplicaMessage>,
+    checks: DocumentChecks,
 ) -> io::Result<HttpServer> {
     let handle = move |request: Request<Incoming>| {
-        let replica = replica.clone();
-        async move { handle_request(request, address, dialect, &replica).await }
+        let (replica, checks) = (replica.clone(), checks.clone());
+        async move { handle_request(request, address, dialect, &replica, &checks).await }
     };
     HttpServer::bind(address, "control", handle).await
 }
@@ -111,6 +117,7 @@
     own_address: SocketAddr,
     dialect: D,
     replica: &ActorRef<ReplicaMessage>,
+    checks: &DocumentChecks,
 ) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
     let path = parts.uri.path();
@@ -118,8 +125,9 @@
     let call = async {
         match Limited::new(body, MAX_BODY_BYTES).collect().await {
             Ok(body) => {
-                let call = dialect.decode(&parts.method, path, &body.to_bytes());
-                execute(call, own_address, replica).await
+                let body = body.to_bytes();
+                let call = decode(parts.method.clone(), path, body, dialect, checks);
+                execute(call.await, own_address, replica, checks).await
             }
             Err(error) => ApiReply::Invalid(format!("the body did not come whole: {error}")),
         }
@@ -130,18 +138,36 @@
     respond(&reply, path, dialect)
 }
 
+/// Decodes a call; a long one on another thread.
+async fn decode<D: ApiDialect>(
+    method: Method,
+    path: &str,
+    body: Bytes,
+    dialect: D,
+    checks: &DocumentChecks,
+) -> ApiCall {
+    if body.len() <= MAX_INLINE_BYTES {
+        return dialect.decode(&method, path, &body);
+    }
+    let path = path.to_string();
+    let decoding = checks.run(move || dialect.decode(&method, &path, &body));
+    let decoded = decoding.await;
+    decoded.unwrap_or_else(|error| ApiCall::Failed(error.to_string()))
+}
+
 async fn execute(
     call: ApiCall,
     own_address: SocketAddr,
     replica: &ActorRef<ReplicaMessage>,
+    checks: &DocumentChecks,
 ) -> ApiReply {
     match call {
         ApiCall::Apply {
             version,
             yaml,
             source,
-        } => match validate_version(version).and_then(|()| validate_document(&yaml)) {
-            Err(error) => ApiReply::Invalid(error.to_string()),
+        } => match validate(version, &yaml, checks).await {
+            Err(error) => error_reply(error),
             Ok(()) => {
                 let command = Command::ApplyHighest {
                     version,
@@ -181,10 +207,20 @@
             }
         }
         ApiCall::Invalid(message) => ApiReply::Invalid(message),
+        ApiCall::Failed(message) => ApiReply::Unavailable(message),
         ApiCall::Unknown => ApiReply::Unknown,
     }
 }
 
+async fn validate(
+    version: DocumentVersion,
+    yaml: &str,
+    checks: &DocumentChecks,
+) -> Result<(), ControlError> {
+    validate_version(version)?;
+    checks.validate(yaml.to_string()).await
+}
+
 async fn call_replica<T>(
     replica: &ActorRef<ReplicaMessage>,
     message: impl FnOnce(ReplySender<T>) -> ReplicaMessage,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod client;
 pub mod command;
 pub mod directory;
+mod document_checks;
 pub mod limits;
 pub mod members;
 pub mod orders;
--- a/src/control/quota_server.rs
+++ b/src/control/quota_server.rs
@@ -29,7 +29,7 @@
 struct State {
     accounts: QuotaAccounts,
     target_paces: TargetPaces,
-    policy: Policy,
+    policy: Arc<Policy>,
     reserved_ppm: u64,
     lease_expires_at_ms: u64,
 }
@@ -62,7 +62,7 @@
     }
 
     /// Applies the quotas of a document, unless it already has those of a later one.
-    pub fn set_policy(&self, policy: Policy) {
+    pub fn set_policy(&self, policy: Arc<Policy>) {
         let mut state = self.state();
         if policy.version <= state.policy.version {
             return;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -30,6 +30,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -100,7 +101,9 @@
     /// See [`SyncRequest`].
     Renew(SyncRequest, ReplySender<SyncReply>),
     /// Grants limit leases on customers' contracts.
-    GrantLimits(ProcessName, Vec<LimitWant>, ReplySender<Vec<LimitGrant>>),
+    GrantLimits(LimitRequest),
+    /// A document has been compiled; `None` if that failed.
+    Compiled(DocumentVersion, Option<Arc<Policy>>),
     /// Reads this replica's cached state; works without a leader.
     ReadCache(PeekScope, ReplySender<PeekReply>),
     /// Reads the document in force.
@@ -122,6 +125,16 @@
     Seeds(Vec<SocketAddr>),
 }
 
+/// An entry's request for limit leases.
+pub struct LimitRequest {
+    /// The entry.
+    pub entry: ProcessName,
+    /// What it wants.
+    pub wants: Vec<LimitWant>,
+    /// Where it is answered.
+    pub sender: ReplySender<Vec<LimitGrant>>,
+}
+
 /// The actor that owns a [`ReplicaState`].
 pub struct Replica;
 
@@ -201,9 +214,14 @@
     accounts_address: SocketAddr,
     limits: Limits,
     suspects: Suspects,
-    policy: Policy,
-    /// The version of the document last sent to the quota server.
-    quota_policy_version: DocumentVersion,
+    policy: Arc<Policy>,
+    /// The version whose limits are in force, unless it failed to compile.
+    policy_version: DocumentVersion,
+    /// The version that was last given to be compiled.
+    compiling_version: DocumentVersion,
+    /// Requests that wait for the document to be compiled.
+    pending_limits: Vec<LimitRequest>,
+    myself: ActorRef<ReplicaMessage>,
     leader_term: Term,
     leader_since_ms: u64,
     /// When a leader was last known, and whether its absence has been logged.
@@ -224,7 +242,7 @@
 
     async fn pre_start(
         &self,
-        _myself: ActorRef<Self::Msg>,
+        myself: ActorRef<Self::Msg>,
         arguments: ReplicaArguments,
     ) -> Result<Self::State, ActorProcessingErr> {
         let ReplicaArguments {
@@ -294,8 +312,11 @@
             accounts_address: quota_server.1,
             limits: Limits::default(),
             suspects: Suspects::default(),
-            policy: Policy::default(),
-            quota_policy_version: DocumentVersion(0),
+            policy: Arc::default(),
+            policy_version: DocumentVersion(0),
+            compiling_version: DocumentVersion(0),
+            pending_limits: Vec::new(),
+            myself,
             leader_term: Term(0),
             leader_since_ms: 0,
             leader_known_ms: 0,
@@ -325,13 +346,11 @@
             }
             ReplicaMessage::AppendBatch => state.append_batch()?,
             ReplicaMessage::Renew(request, sender) => state.renew(request, sender),
-            ReplicaMessage::GrantLimits(entry, wants, sender) => {
-                let _ = sender.send(
-                    state
-                        .check_lease()
-                        .map(|()| state.grant_limits(&entry, &wants)),
-                );
-            }
+            ReplicaMessage::GrantLimits(request) => match state.check_lease() {
+                Ok(()) => state.request_limits(request),
+                Err(error) => drop(request.sender.send(Err(error))),
+            },
+            ReplicaMessage::Compiled(version, policy) => state.apply_policy(version, policy),
             ReplicaMessage::ReadCache(wanted, sender) => {
                 let _ = sender.send(Ok(state.read_cache(wanted)));
             }
@@ -682,13 +701,3 @@
         .unwrap_or(Duration::ZERO)
         .as_millis() as u64
 }
-
-/// Validates a document, as the leader does before proposing it.
-///
-/// # Errors
-/// Fails with every validation error found.
-pub fn validate_document(yaml: &str) -> Result<(), ControlError> {
-    Policy::compile(DocumentVersion(0), yaml)
-        .map(drop)
-        .map_err(ControlError::Invalid)
-}
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -33,7 +33,7 @@
             self.fail_pending_renewals();
             return Ok(());
         }
-        self.update_quota_policy();
+        self.compile_document();
         // In terms of the boot clock: `now_ms` is 1 at `started_ms`.
         let lease_expires_at_ms = self.started_ms + self.core.lease_expires_at_ms(now_ms) - 1;
         let reserved_ppm = self.demands.reserved_ppm(now_ms);
@@ -198,6 +198,9 @@
     }
 
     pub(super) fn fail_pending_renewals(&mut self) {
+        for request in std::mem::take(&mut self.pending_limits) {
+            let _ = request.sender.send(Err(self.not_leader_error()));
+        }
         for pending in std::mem::take(&mut self.pending_renewals) {
             let _ = pending.sender.send(Err(self.not_leader_error()));
         }
@@ -247,61 +250,70 @@
         self.has_updates |= changed;
     }
 
-    /// Grants limit leases on the contracts of the document in force.
-    pub(super) fn grant_limits(
-        &mut self,
-        entry: &ProcessName,
-        wants: &[LimitWant],
-    ) -> Vec<LimitGrant> {
+    /// Grants limit leases on the contracts of the document in force, once it is compiled.
+    pub(super) fn request_limits(&mut self, request: LimitRequest) {
+        match self.policy_version == self.control.document().version {
+            true => self.grant_limits(request),
+            false => self.pending_limits.push(request),
+        }
+    }
+
+    fn grant_limits(&mut self, request: LimitRequest) {
+        let LimitRequest {
+            entry,
+            wants,
+            sender,
+        } = request;
         let now_ms = self.now_ms();
-        self.update_contracts();
-        let (policy, limits) = (&self.policy, &mut self.limits);
-        let grants = wants.iter().filter_map(|want| {
-            let contract = policy.contract(&want.customer)?;
-            Some(limits.grant(entry, want, contract, now_ms))
+        let grants = self.check_lease().map(|()| {
+            let (policy, limits) = (&self.policy, &mut self.limits);
+            let grants = wants.iter().filter_map(|want| {
+                let contract = policy.contract(&want.customer)?;
+                Some(limits.grant(&entry, want, contract, now_ms))
+            });
+            grants.collect()
         });
-        grants.collect()
+        let _ = sender.send(grants);
     }
 
-    /// Applies the quotas of the document in force to the accounts. Compiles it on another
-    /// thread: a long document takes so long that the lease would expire meanwhile.
-    fn update_quota_policy(&mut self) {
+    /// Compiles the document in force on another thread: a long one takes so long that the lease
+    /// would expire meanwhile.
+    fn compile_document(&mut self) {
         let document = self.control.document();
-        if self.quota_policy_version == document.version {
+        if self.compiling_version == document.version {
             return;
         }
-        self.quota_policy_version = document.version;
+        self.compiling_version = document.version;
         let (version, yaml) = (document.version, document.yaml.clone());
-        let quota_server = self.quota_server.clone();
-        tokio::task::spawn_blocking(move || match Policy::compile(version, &yaml) {
-            Ok(policy) => quota_server.set_policy(policy),
-            Err(errors) => {
+        let myself = self.myself.clone();
+        tokio::task::spawn_blocking(move || {
+            let policy = Policy::compile(version, &yaml).map_err(|errors| {
+                // Documents are validated before they are accepted, but possibly by an older
+                // version of this program.
                 tracing::error!(
                     %version, faults = %errors,
-                    "control: failed to compile the document; the previous quotas stay in force"
+                    "control: failed to compile the document; the previous limits stay in force"
                 );
+            });
+            let compiled = ReplicaMessage::Compiled(version, policy.ok().map(Arc::new));
+            if let Err(error) = myself.cast(compiled) {
+                tracing::debug!(%error, "control: stops, a compiled document is not used");
             }
         });
     }
 
-    /// Applies the contracts of the document in force. Unlike [`Self::update_quota_policy`], it
-    /// compiles the document on this thread, as the grants of the same request need the result;
-    /// this happens at the first such request after a change of the document.
-    fn update_contracts(&mut self) {
-        let document = self.control.document();
-        if self.policy.version != document.version {
-            match Policy::compile(document.version, &document.yaml) {
-                Ok(policy) => self.policy = policy,
-                // Documents are validated before they are accepted, but possibly by an older
-                // version of this program.
-                Err(errors) => {
-                    tracing::error!(
-                        version = %document.version, faults = %errors,
-                        "control: failed to compile the document; the previous contracts stay in force"
-                    );
-                    self.policy.version = document.version;
-                }
-            }
+    /// Applies the quotas and contracts of a compiled document; `None` if it failed to compile.
+    pub(super) fn apply_policy(&mut self, version: DocumentVersion, policy: Option<Arc<Policy>>) {
+        if version < self.policy_version {
+            return;
+        }
+        self.policy_version = version;
+        if let Some(policy) = policy {
+            self.quota_server.set_policy(Arc::clone(&policy));
+            self.policy = policy;
+        }
+        for request in std::mem::take(&mut self.pending_limits) {
+            self.request_limits(request);
         }
     }
 
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -4,6 +4,7 @@
     ControlClient,
     api::{self, ApiDialect},
     command::{Claim, ClaimKey, ClaimedAttempt, Command, Outcome, Reply},
+    document_checks::DocumentChecks,
     limits::{LimitGrant, LimitWant},
     orders::Order,
     peers,
@@ -110,14 +111,19 @@
             .build();
         let server = Server::builder().set_config(config).build(own.rpc).await?;
         let rpc_address = server.local_addr()?;
-        let rpc = server.start(RpcHandler(replica.clone()).into_rpc());
+        let checks = DocumentChecks::default();
+        let handler = RpcHandler {
+            replica: replica.clone(),
+            checks: checks.clone(),
+        };
+        let rpc = server.start(handler.into_rpc());
         tracing::info!("control: serving RPC at {rpc_address}");
         let console = match &settings.console {
             Some(console) => Some(Console::bind(console, new_client(settings, rpc_address)).await?),
             None => None,
         };
         let api = match own.api {
-            Some(address) => Some(api::serve(address, dialect, replica.clone()).await?),
+            Some(address) => Some(api::serve(address, dialect, replica.clone(), checks).await?),
             None => None,
         };
         Ok(Self {
@@ -197,7 +203,10 @@
 }
 
 /// Forwards RPC calls to the replica.
-struct RpcHandler(ActorRef<ReplicaMessage>);
+struct RpcHandler {
+    replica: ActorRef<ReplicaMessage>,
+    checks: DocumentChecks,
+}
 
 impl RpcHandler {
     async fn call<T>(
@@ -205,7 +214,9 @@
         message: impl FnOnce(ReplySender<T>) -> ReplicaMessage,
     ) -> RpcResult<T> {
         let (sender, reply) = oneshot::channel();
-        self.0.cast(message(sender)).map_err(|_| internal_error())?;
+        self.replica
+            .cast(message(sender))
+            .map_err(|_| internal_error())?;
         Ok(reply.await.map_err(|_| internal_error())??)
     }
 
@@ -228,7 +239,7 @@
         expected: DocumentVersion,
         yaml: String,
     ) -> RpcResult<ApplyReply> {
-        validate_document(&yaml)?;
+        self.checks.validate(yaml.clone()).await?;
         match self
             .propose(Command::Apply {
                 change,
@@ -251,7 +262,7 @@
         source: String,
     ) -> RpcResult<DocumentVersion> {
         validate_version(version)?;
-        validate_document(&yaml)?;
+        self.checks.validate(yaml.clone()).await?;
         let command = Command::ApplyHighest {
             version,
             yaml,
@@ -325,8 +336,14 @@
         entry: ProcessName,
         wants: Vec<LimitWant>,
     ) -> RpcResult<Vec<LimitGrant>> {
-        self.call(|sender| ReplicaMessage::GrantLimits(entry, wants, sender))
-            .await
+        self.call(|sender| {
+            ReplicaMessage::GrantLimits(LimitRequest {
+                entry,
+                wants,
+                sender,
+            })
+        })
+        .await
     }
 
     async fn order(&self, target: TargetName, order: Order) -> RpcResult<()> {
--- a/src/document_check.rs
+++ b/src/document_check.rs
@@ -10,9 +10,20 @@
 /// JSON Schema that documents are validated against.
 pub const SCHEMA: &str = include_str!("../schema/document.json");
 
+/// Maximum number of errors that are reported.
+pub const MAX_REPORTED_ERRORS: usize = 50;
+/// Maximum number of defined names that an error lists.
+const MAX_LISTED_NAMES: usize = 20;
+/// Maximum length of a message.
+const MAX_MESSAGE_BYTES: usize = 2000;
+/// Longest document in which errors are located.
+const MAX_LOCATED_BYTES: usize = 1024 * 1024;
+
+static SCHEMA_VALUE: LazyLock<serde_json::Value> =
+    LazyLock::new(|| serde_json::from_str(SCHEMA).expect("the schema is valid JSON"));
+
 static VALIDATOR: LazyLock<jsonschema::Validator> = LazyLock::new(|| {
-    let schema = serde_json::from_str(SCHEMA).expect("the schema is valid JSON");
-    jsonschema::validator_for(&schema).expect("the schema is a valid JSON Schema")
+    jsonschema::validator_for(&SCHEMA_VALUE).expect("the schema is a valid JSON Schema")
 });
 
 /// A validation error, with the offending value and a remedy.
@@ -47,16 +58,58 @@
     }
 }
 
+/// The errors found so far. Only the first ones are kept, as a document may have one for each of
+/// thousands of routes.
+#[derive(Default)]
+struct Faults {
+    /// JSON pointers and messages.
+    kept: Vec<(String, String)>,
+    count: usize,
+}
+
+impl Faults {
+    /// Adds an error. Neither the path nor the message is built if it is not kept.
+    fn report(&mut self, path: impl FnOnce() -> String, message: impl FnOnce() -> String) {
+        self.count += 1;
+        if self.kept.len() < MAX_REPORTED_ERRORS {
+            let mut message = message();
+            message.truncate(message.floor_char_boundary(MAX_MESSAGE_BYTES));
+            self.kept.push((path(), message));
+        }
+    }
+
+    /// The errors with their lines; `Ok` if there are none.
+    fn into_result(self, yaml: &str) -> Result<(), ValidationErrors> {
+        if self.kept.is_empty() {
+            return Ok(());
+        }
+        let left_out = self.count - self.kept.len();
+        let lines = Lines::of(yaml);
+        let errors = self.kept.into_iter().map(|(path, message)| {
+            let path = if path.is_empty() { "/".into() } else { path };
+            ValidationError {
+                line: lines.line_of(&path),
+                path,
+                message,
+            }
+        });
+        let more = (left_out > 0).then(|| ValidationError {
+            line: 0,
+            path: "/".into(),
+            message: format!("{left_out} more errors are not shown"),
+        });
+        Err(ValidationErrors(errors.chain(more).collect()))
+    }
+}
+
 /// Parses a document and validates it against the schema, then checks its names.
 ///
 /// # Errors
-/// Fails with every validation error found.
+/// Fails with the first [`MAX_REPORTED_ERRORS`] validation errors, and the number of the others.
 pub fn read(yaml: &str) -> Result<types::Document, ValidationErrors> {
     let document = parse(yaml)?;
-    match check_names(&document, yaml) {
-        errors if errors.is_empty() => Ok(document),
-        errors => Err(ValidationErrors(errors)),
-    }
+    check_names(&document).into_result(yaml)?;
+    Ok(document)
 }
 
 fn parse(yaml: &str) -> Result<types::Document, ValidationErrors> {
@@ -76,24 +129,23 @@
             message,
         }])
     })?;
-    let errors: Vec<ValidationError> = VALIDATOR
-        .iter_errors(&value)
-        .map(|error| {
-            let path = error.instance_path().to_string();
-            let message = with_expected_value(&error.to_string(), &error.schema_path().to_string());
-            error_at(yaml, &path, message)
-        })
-        .collect();
-    if !errors.is_empty() {
-        return Err(ValidationErrors(errors));
+    let mut faults = Faults::default();
+    for error in VALIDATOR.iter_errors(&value) {
+        faults.report(
+            || error.instance_path().to_string(),
+            || with_expected_value(&error.to_string(), &error.schema_path().to_string()),
+        );
     }
-    serde_json::from_value(value)
-        .map_err(|error| ValidationErrors(vec![error_at(yaml, "", error.to_string())]))
+    faults.into_result(yaml)?;
+    serde_json::from_value(value).map_err(|error| {
+        let mut faults = Faults::default();
+        faults.report(String::new, || error.to_string());
+        faults.into_result(yaml).expect_err("it has an error")
+    })
 }
 
 /// Appends the schema's description of the value to the validator's message.
 fn with_expected_value(message: &str, schema_path: &str) -> String {
-    let schema: serde_json::Value = serde_json::from_str(SCHEMA).unwrap_or_default();
     let parent = schema_path
         .rsplit_once('/')
         .map_or("", |(parent, _)| parent);
@@ -101,53 +153,57 @@
         .rsplit_once("/$ref")
         .map_or(parent, |(before, _)| before);
     let described = [parent, resolved].into_iter().find_map(|pointer| {
-        schema
-            .pointer(pointer)?
-            .get("description")?
-            .as_str()
-            .map(String::from)
+        let schema = SCHEMA_VALUE.pointer(pointer)?;
+        schema.get("description")?.as_str()
     });
+    // The message quotes the value, which may be long.
+    let quoted = &message[..message.floor_char_boundary(MAX_MESSAGE_BYTES / 2)];
     match described {
-        Some(description) => format!("{message}. Expected: {description}"),
-        None => message.to_string(),
+        Some(description) => format!("{quoted}. Expected: {description}"),
+        None => quoted.to_string(),
     }
 }
 
-fn error_at(yaml: &str, path: &str, message: String) -> ValidationError {
-    let path = if path.is_empty() { "/" } else { path };
-    ValidationError {
-        line: line_of(yaml, path),
-        path: path.into(),
-        message,
+/// The lines of a document's values.
+struct Lines(Option<marked_yaml::Node>);
+
+impl Lines {
+    /// Parses a document. The lines of a very long one are unknown, as the parsed form takes many
+    /// times its size.
+    fn of(yaml: &str) -> Self {
+        let is_located = yaml.len() <= MAX_LOCATED_BYTES;
+        Self(
+            is_located
+                .then(|| marked_yaml::parse_yaml(0, yaml).ok())
+                .flatten(),
+        )
     }
-}
 
-/// Line of the value at a path, or of its nearest parent that exists.
-fn line_of(yaml: &str, path: &str) -> usize {
-    let Ok(mut node) = marked_yaml::parse_yaml(0, yaml) else {
-        return 0;
-    };
-    let mut line = node.span().start().map_or(1, marked_yaml::Marker::line);
-    for part in path.split('/').filter(|part| !part.is_empty()) {
-        let child = match &node {
-            marked_yaml::Node::Mapping(mapping) => mapping.get_node(part).cloned(),
-            marked_yaml::Node::Sequence(sequence) => part
-                .parse()
-                .ok()
-                .and_then(|index| sequence.get_node(index).cloned()),
-            marked_yaml::Node::Scalar(_) => None,
+    /// Line of the value at a path, or of its nearest parent that exists; 0 if unknown.
+    fn line_of(&self, path: &str) -> usize {
+        let Some(mut node) = self.0.as_ref() else {
+            return 0;
         };
-        let Some(child) = child else { break };
-        line = child.span().start().map_or(line, marked_yaml::Marker::line);
-        node = child;
+        let mut line = node.span().start().map_or(1, marked_yaml::Marker::line);
+        for part in path.split('/').filter(|part| !part.is_empty()) {
+            let child = match node {
+                marked_yaml::Node::Mapping(mapping) => mapping.get_node(part),
+                marked_yaml::Node::Sequence(sequence) => {
+                    part.parse().ok().and_then(|index| sequence.get_node(index))
+                }
+                marked_yaml::Node::Scalar(_) => None,
+            };
+            let Some(child) = child else { break };
+            line = child.span().start().map_or(line, marked_yaml::Marker::line);
+            node = child;
+        }
+        line
     }
-    line
 }
 
 /// Reports names that are defined twice, or used but not defined.
-fn check_names(document: &types::Document, yaml: &str) -> Vec<ValidationError> {
-    let mut errors = Vec::new();
-    let mut report = |path: String, message: String| errors.push(error_at(yaml, &path, message));
+fn check_names(document: &types::Document) -> Faults {
+    let mut faults = Faults::default();
     let tiers: BTreeSet<&str> = document
         .tiers
         .iter()
@@ -159,43 +215,56 @@
     let mut ranks = BTreeMap::new();
     for (i, tier) in document.tiers.iter().enumerate() {
         if !names.insert(("tier", tier.name.to_string())) {
-            report(
-                format!("/tiers/{i}/name"),
-                format!("the tier {:?} is defined twice", *tier.name),
+            faults.report(
+                || format!("/tiers/{i}/name"),
+                || format!("the tier {:?} is defined twice", *tier.name),
             );
         }
         if let Some(first) = ranks.insert(tier.rank, &tier.name) {
-            let message = format!(
-                "rank {} is taken by the tier {:?}; each tier has its own",
-                tier.rank, **first
+            let rank = tier.rank;
+            faults.report(
+                || format!("/tiers/{i}/rank"),
+                || {
+                    format!(
+                        "rank {rank} is taken by the tier {:?}; each tier has its own",
+                        **first
+                    )
+                },
             );
-            report(format!("/tiers/{i}/rank"), message);
         }
     }
     let mut models = BTreeMap::new();
     for (i, service) in document.services.iter().enumerate() {
         if !names.insert(("service", service.name.to_string())) {
-            let message = format!("the service {:?} is defined twice", *service.name);
-            report(format!("/services/{i}/name"), message);
+            faults.report(
+                || format!("/services/{i}/name"),
+                || format!("the service {:?} is defined twice", *service.name),
+            );
         }
         for (j, model) in service.models.iter().enumerate() {
             if let Some(first) = models.insert(model.as_str(), service.name.as_str()) {
-                let message = format!("the model {:?} belongs to the service {first:?}", **model);
-                report(format!("/services/{i}/models/{j}"), message);
+                faults.report(
+                    || format!("/services/{i}/models/{j}"),
+                    || format!("the model {:?} belongs to the service {first:?}", **model),
+                );
             }
         }
     }
     let mut keys = BTreeMap::new();
     for (i, customer) in document.customers.iter().enumerate() {
         if !names.insert(("customer", customer.name.to_string())) {
-            let message = format!("the customer {:?} is defined twice", *customer.name);
-            report(format!("/customers/{i}/name"), message);
+            faults.report(
+                || format!("/customers/{i}/name"),
+                || format!("the customer {:?} is defined twice", *customer.name),
+            );
         }
         let keys_of_customer = customer.key_sha256.iter().chain(&customer.more_keys_sha256);
         for key in keys_of_customer {
             if let Some(first) = keys.insert(key.as_str(), customer.name.as_str()) {
-                let message = format!("the customer {first:?} has the same key");
-                report(format!("/customers/{i}/key_sha256"), message);
+                faults.report(
+                    || format!("/customers/{i}/key_sha256"),
+                    || format!("the customer {first:?} has the same key"),
+                );
             }
         }
         if let Some(tier) = customer
@@ -203,64 +272,75 @@
             .as_ref()
             .filter(|tier| !tiers.contains(tier.as_str()))
         {
-            report(
-                format!("/customers/{i}/tier"),
-                unknown_name("tier", tier, &tiers),
+            faults.report(
+                || format!("/customers/{i}/tier"),
+                || unknown_name("tier", tier, &tiers),
             );
         }
     }
     for (i, rule) in document.rules.iter().enumerate() {
         if !services.contains(rule.service.as_str()) {
-            let message = unknown_name("service", &rule.service, &services);
-            report(format!("/rules/{i}/service"), message);
+            faults.report(
+                || format!("/rules/{i}/service"),
+                || unknown_name("service", &rule.service, &services),
+            );
         }
         if let Some(tier) = rule
             .tier
             .as_ref()
             .filter(|tier| !tiers.contains(tier.as_str()))
         {
-            report(
-                format!("/rules/{i}/tier"),
-                unknown_name("tier", tier, &tiers),
+            faults.report(
+                || format!("/rules/{i}/tier"),
+                || unknown_name("tier", tier, &tiers),
             );
         }
         for (j, customer) in rule.customers.iter().enumerate() {
             if !customers.contains(customer.as_str()) {
-                let message = unknown_name("customer", customer, &customers);
-                report(format!("/rules/{i}/customers/{j}"), message);
+                faults.report(
+                    || format!("/rules/{i}/customers/{j}"),
+                    || unknown_name("customer", customer, &customers),
+                );
             }
         }
     }
     let mut host_prefixes = BTreeSet::new();
     for (i, route) in document.routes.iter().enumerate() {
         if !host_prefixes.insert((route.host.to_ascii_lowercase(), route.path_prefix.as_str())) {
-            let message = "another route has the same host and path prefix".to_string();
-            report(format!("/routes/{i}/path_prefix"), message);
+            faults.report(
+                || format!("/routes/{i}/path_prefix"),
+                || "another route has the same host and path prefix".into(),
+            );
         }
         if !tiers.contains(route.tier.as_str()) {
-            report(
-                format!("/routes/{i}/tier"),
-                unknown_name("tier", &route.tier, &tiers),
+            faults.report(
+                || format!("/routes/{i}/tier"),
+                || unknown_name("tier", &route.tier, &tiers),
             );
         }
         if route.targets.iter().all(|target| target.weight == 0) {
-            let message = "at least one weight is above 0".to_string();
-            report(format!("/routes/{i}/targets"), message);
+            faults.report(
+                || format!("/routes/{i}/targets"),
+                || "at least one weight is above 0".into(),
+            );
         }
         for (j, target) in route.targets.iter().enumerate() {
             if !services.contains(target.service.as_str()) {
-                let message = unknown_name("service", &target.service, &services);
-                report(format!("/routes/{i}/targets/{j}/service"), message);
+                faults.report(
+                    || format!("/routes/{i}/targets/{j}/service"),
+                    || unknown_name("service", &target.service, &services),
+                );
             }
         }
     }
-    errors
+    faults
 }
 
 fn unknown_name(what: &str, name: &str, known: &BTreeSet<&str>) -> String {
-    let known: Vec<&str> = known.iter().copied().collect();
-    format!(
-        "there is no {what} {name:?}; defined are: {}",
-        known.join(", ")
-    )
+    let listed: Vec<&str> = known.iter().copied().take(MAX_LISTED_NAMES).collect();
+    let listed = listed.join(", ");
+    match known.len().saturating_sub(MAX_LISTED_NAMES) {
+        0 => format!("there is no {what} {name:?}; defined are: {listed}"),
+        more => format!("there is no {what} {name:?}; defined are: {listed} and {more} more"),
+    }
 }
