Break unframed answers off when their process is killed

Callers saw: the part of an answer with neither a length nor chunks that a gateway had passed on before it was killed, with an orderly end: to them, the whole answer.

Cause: only the end of the connection ends such an answer, and a destructor reset the connection of one that was cut. A killed process runs none, and the operating system closes its connections in order.

Ruled out: the relay, which ends with an error in each case that the process lives to see; chunks towards the caller, which would claim more than is known where the target itself states no end.

Change: a connection is set to be reset on close before the head of such an answer is written, and no more once the HTTP library shuts it down after the whole answer. It covers callers of HTTP/1.0, entries and the console, too: all use the same stream.

--- a/src/caller_stream.rs
+++ b/src/caller_stream.rs
@@ -1,6 +1,6 @@
 //! The connection of a caller.
 
-use hyper::Version;
+use hyper::{Response, Version, body::Body};
 use socket2::SockRef;
 use std::{
     io,
@@ -21,50 +21,59 @@
 /// nor chunks for this one only.
 pub const UNFRAMED_VERSION: Version = Version::HTTP_10;
 
-/// Whether the last response on a connection was cut.
+/// How the last response on a connection ends.
 #[derive(Default)]
 pub struct ResponseCut {
     /// Whether only the end of the connection ends the last response.
     is_unframed: AtomicBool,
-    is_cut: AtomicBool,
 }
 
 impl ResponseCut {
-    /// Records that a response begins.
-    pub fn begin(&self, request: Version, response: Version) {
-        let is_unframed = request < Version::HTTP_11 || response == UNFRAMED_VERSION;
+    /// Records that a response with this body begins.
+    pub fn begin<B: Body>(&self, request: Version, response: &Response<B>) {
+        let has_length = response.body().size_hint().exact().is_some();
+        let is_unframed = response.version() == UNFRAMED_VERSION && request >= Version::HTTP_11
+            || request < Version::HTTP_11 && !has_length;
         self.is_unframed.store(is_unframed, Ordering::Relaxed);
     }
-
-    /// Records the failure that ended the connection.
-    pub fn record_failure(&self, error: &hyper::Error) {
-        let is_cut = error.is_user() && self.is_unframed.load(Ordering::Relaxed);
-        self.is_cut.store(is_cut, Ordering::Relaxed);
-    }
 }
 
-/// A connection that is reset instead of closed if its last response was cut and has no other end
-/// than that of the connection.
+/// A connection that is reset unless it is shut down, while it carries a response that has no other
+/// end than that of the connection.
+///
+/// The connection is set to be reset before the head of such a response is written: if the process
+/// is killed, the operating system closes its connections, and an orderly end would make the part
+/// that was written look whole. The HTTP library shuts a connection down only after a whole
+/// response.
 pub struct CallerStream {
     stream: TcpStream,
     cut: Arc<ResponseCut>,
+    is_reset_on_close: bool,
 }
 
 impl CallerStream {
-    /// Wraps a connection; `cut` tells, when it is dropped, whether to reset it.
+    /// Wraps a connection; `cut` tells how its responses end.
     pub fn new(stream: TcpStream, cut: Arc<ResponseCut>) -> Self {
-        Self { stream, cut }
+        Self {
+            stream,
+            cut,
+            is_reset_on_close: false,
+        }
     }
-}
 
-impl Drop for CallerStream {
-    fn drop(&mut self) {
-        if !self.cut.is_cut.load(Ordering::Relaxed) {
-            return;
-        }
-        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
-            tracing::warn!(%error, "http: connection with a cut response not reset");
+    fn reset_on_close(&mut self, is_reset_on_close: bool) -> io::Result<()> {
+        if self.is_reset_on_close != is_reset_on_close {
+            let linger = is_reset_on_close.then_some(Duration::ZERO);
+            SockRef::from(&self.stream).set_linger(linger)?;
+            self.is_reset_on_close = is_reset_on_close;
         }
+        Ok(())
+    }
+
+    /// Prepares the connection for the response that is written to it.
+    fn before_write(&mut self) -> io::Result<()> {
+        let is_unframed = self.cut.is_unframed.load(Ordering::Relaxed);
+        self.reset_on_close(is_unframed)
     }
 }
 
@@ -84,7 +93,11 @@
         context: &mut Context,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        let stream = self.get_mut();
+        if let Err(error) = stream.before_write() {
+            return Poll::Ready(Err(error));
+        }
+        Pin::new(&mut stream.stream).poll_write(context, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
@@ -92,7 +105,11 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+        let stream = self.get_mut();
+        if let Err(error) = stream.reset_on_close(false) {
+            return Poll::Ready(Err(error));
+        }
+        Pin::new(&mut stream.stream).poll_shutdown(context)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -104,6 +121,10 @@
         context: &mut Context,
         slices: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        let stream = self.get_mut();
+        if let Err(error) = stream.before_write() {
+            return Poll::Ready(Err(error));
+        }
+        Pin::new(&mut stream.stream).poll_write_vectored(context, slices)
     }
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -309,7 +309,7 @@
             let (cut, version) = (Arc::clone(&for_response), request.version());
             async move {
                 let response = shared.handle(request, &last_answer).await;
-                cut.begin(version, response.version());
+                cut.begin(version, &response);
                 Ok::<_, Infallible>(response)
             }
         });
@@ -326,8 +326,6 @@
             let mut served = pin!(served);
             // The caller disconnected or sent an invalid request, or its response was cut.
             if let Err(error) = served.as_mut().await {
-                // The connection is closed when `served` is dropped.
-                cut.record_failure(&error);
                 log_connection_failure(&error, caller, &last_answer);
             }
             drop(open_guard);
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -122,7 +122,7 @@
             let response = handler(request);
             async move {
                 let response = response.await;
-                cut.begin(version, response.version());
+                cut.begin(version, &response);
                 Ok::<_, Infallible>(response)
             }
         });
@@ -134,10 +134,6 @@
             let mut served = pin!(served);
             if let Err(error) = served.as_mut().await {
                 tracing::debug!("{component}: connection ended: {error}");
-                // The connection is closed when `served` is dropped.
-                if let Some(error) = error.downcast_ref::<hyper::Error>() {
-                    cut.record_failure(error);
-                }
             }
         });
     }
--- a/tests/unframed_outcomes.rs
+++ b/tests/unframed_outcomes.rs
@@ -5,8 +5,9 @@
 
 use guavacove::units::RequestId;
 use serde_json::json;
+use socket2::SockRef;
 use std::{
-    net::SocketAddr,
+    net::{Shutdown, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -34,6 +35,8 @@
     Crash,
     /// The same, and has said before that it is leaving.
     Leave,
+    /// Goes on after a long pause.
+    Pause,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +70,9 @@
     // Ends with an error when the agent closes the connection first.
     let _ = stream.write_all((head + answer.text).as_bytes()).await;
     sleep_ms(300).await;
+    if let After::Pause = answer.after {
+        sleep_ms(10_000).await;
+    }
     if !matches!(answer.after, After::Close) {
         crash.send_replace(Crash::Begun);
         let mut crash = crash.subscribe();
@@ -86,6 +92,8 @@
                 }
             }
             _ = crashed.changed() => {
+                // Also for a process that is being spawned and has inherited it.
+                SockRef::from(&listener).shutdown(Shutdown::Both).unwrap();
                 drop(listener);
                 crash.send_replace(Crash::Unheard);
                 return;
@@ -109,8 +117,8 @@
     }
 }
 
-/// A system whose only plain target answers like this; the answer to one request with this key.
-async fn answer_to_a_caller(script: Answer) -> (System, RawAnswer, String) {
+/// A system whose only plain target answers like this, with its agent, and a request to it.
+async fn system_with_target(script: Answer) -> (System, Process, String) {
     let system = System::builder().controls(1).entries(1).start().await;
     let (listen, announced) = (free_address(), free_address());
     let settings = json!({
@@ -119,7 +127,7 @@
     });
     let file = system.write("filings-1.yaml", &settings.to_string());
     let log = system.folder.path().join("filings-1.log");
-    let _agent = Process::spawn(vec!["agent".into(), "--settings".into(), file], log);
+    let agent = Process::spawn(vec!["agent".into(), "--settings".into(), file], log);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(serve(listener, script));
@@ -150,9 +158,36 @@
             later.store(true, Ordering::Relaxed);
         });
     }
+    (system, agent, request)
+}
+
+/// The answer to one request.
+async fn answer_to_a_caller(script: Answer) -> RawAnswer {
+    let (system, _agent, request) = system_with_target(script).await;
+    fetch_raw(system.entries[0].1, &request).await
+}
+
+/// Guards against a part of an answer that looks whole as the process that passes it on is killed.
+async fn a_killed_process_breaks_its_answers_off(is_agent_killed: bool) {
+    let script = Answer {
+        content_type: STREAM,
+        text: EVENTS,
+        after: After::Pause,
+    };
+    let (mut system, mut agent, request) = system_with_target(script).await;
     let entry = system.entries[0].1;
-    let answer = fetch_raw(entry, &request).await;
-    (system, answer, request)
+    let asking = tokio::spawn(async move { fetch_raw(entry, &request).await });
+    sleep_ms(1000).await;
+    match is_agent_killed {
+        true => agent.kill(),
+        false => system.entries[0].0.kill(),
+    }
+    let answer = asking.await.unwrap();
+    assert_eq!(
+        (answer.status(), answer.end),
+        (200, RawEnd::Broken),
+        "{answer:?}"
+    );
 }
 
 /// Guards against an answer whose target stopped inside the head and that reaches its caller as a
@@ -175,7 +210,7 @@
         text,
         after,
     };
-    let (_system, answer, _) = answer_to_a_caller(script).await;
+    let answer = answer_to_a_caller(script).await;
     assert_eq!((answer.status(), answer.end), (status, end), "{answer:?}");
     if end == RawEnd::Closed {
         assert_eq!(answer.text, text);
@@ -190,6 +225,8 @@
 const PLAIN: &str = "text/plain";
 
 cases! {
+    killed_entries_break_streams_off => a_killed_process_breaks_its_answers_off(false);
+    streams_of_killed_agents_are_broken => a_killed_process_breaks_its_answers_off(true);
     status_lines_are_no_answers => a_stopped_head_is_no_answer("HTTP/1.1 200 OK\r\n", After::Close);
     half_headers_are_no_answers =>
         a_stopped_head_is_no_answer("HTTP/1.1 200 OK\r\ncontent-ty", After::Close);
