Pass no part of a leaving target's answer off as the whole

Callers saw: the part of an answer with neither a length nor chunks that a target had sent when it was killed, some time after it had said that it leaves, with an orderly end.

Cause: a leaving target that refuses connections was judged to be unknown instead of gone, as it may have ended because it was done; the end was then called unproven and passed on like a whole answer.

Ruled out: telling the two apart by the time since the notice: targets serve for a while after it, and the gateway does not know how long.

Change: one table without that class, for gateways and agents: only a target that still accepts a connection shows that its answer is whole. Otherwise the answer is broken off, or asked for again where that is allowed.

Two former cases required an orderly end here, which claims more than is known: they now require a break, and new ones that answers of leaving targets that are still there are whole. a_leaving_target_that_refuses_connections_has_not_crashed stated the fault as a rule; the table of response_end covers its rows.

--- a/src/agent/dispatcher.rs
+++ b/src/agent/dispatcher.rs
@@ -135,10 +135,6 @@
     }
 
     /// The target if it accepts new requests, or the reason why it does not.
-    fn is_target_leaving(&self) -> bool {
-        self.view.load().orders.draining || self.announced().is_some_and(|target| target.leaving)
-    }
-
     fn accepting_target(&self, service: Option<&ServiceName>) -> Result<Arc<Announcement>, Reason> {
         let view = self.view.load();
         let stopping = self.stopping.load(Ordering::Relaxed);
--- a/src/agent/dispatcher/runs.rs
+++ b/src/agent/dispatcher/runs.rs
@@ -67,15 +67,7 @@
         let message = call.in_scope(|| target::build_request(request, address, &head));
         let outcome = match message {
             Some(message) => {
-                let is_leaving = || self.is_target_leaving();
-                let run = target::run(
-                    &announcement,
-                    request,
-                    message,
-                    &head,
-                    &response,
-                    is_leaving,
-                );
+                let run = target::run(&announcement, request, message, &head, &response);
                 let outcome = run.instrument(call).await;
                 if outcome == Outcome::NotRun {
                     self.mark_unreachable();
--- a/src/agent/response.rs
+++ b/src/agent/response.rs
@@ -26,8 +26,6 @@
         /// The CRC-32 of its bytes.
         crc: u32,
     },
-    /// It ended with the connection to its target, and it is not known whether it is complete.
-    Unproven,
     /// It failed before it was complete.
     Failed(Verdict, Reason),
 }
@@ -256,11 +254,6 @@
                     length: state.length,
                     crc,
                 },
-                Ending::Unproven => FromAgent::Failed {
-                    request,
-                    verdict: Verdict::Ran,
-                    reason: Reason::TargetFailed,
-                },
                 Ending::Failed(verdict, reason) => FromAgent::Failed {
                     request,
                     verdict,
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -212,15 +212,13 @@
     }
 }
 
-/// Runs a request at the target, forwards the response and returns the outcome. `is_leaving` tells
-/// whether the target is draining at the time of the call.
+/// Runs a request at the target, forwards the response and returns the outcome.
 pub async fn run(
     announcement: &Announcement,
     request: RequestId,
     message: Request<Full<Bytes>>,
     head: &DispatchedRequest,
     buffer: &BufferedResponse,
-    is_leaving: impl Fn() -> bool,
 ) -> Outcome {
     // A run whose outcome is recorded is not cancelled by the caller, and silence in its response
     // body is tolerated.
@@ -280,16 +278,12 @@
             }
             ReadResult::Ended => {
                 let content = body.content_end(is_stream);
-                judge_end(request, announcement, framing, content, &is_leaving).await
+                judge_end(request, announcement, framing, content).await
             }
             _ => EndVerdict::Broken("not ended"),
         };
         match read {
             ReadResult::Ended if verdict == EndVerdict::Whole => break,
-            ReadResult::Ended if verdict == EndVerdict::Unproven => {
-                buffer.end(Ending::Unproven);
-                return Outcome::AnsweredLong;
-            }
             ReadResult::Cancelled => {
                 cancel(announcement, request);
                 buffer.end(Ending::Failed(Verdict::MayHaveRun, Reason::TargetFailed));
@@ -376,12 +370,9 @@
     announcement: &Announcement,
     framing: Framing,
     content: ContentEnd,
-    is_leaving: impl Fn() -> bool,
 ) -> EndVerdict {
     let target = match response_end::depends_on_target(framing, content) {
-        true => check_target(announcement.address)
-            .await
-            .of_leaving(is_leaving()),
+        true => check_target(announcement.address).await,
         false => TargetAfter::Unknown,
     };
     let verdict = response_end::judge(framing, content, target);
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -53,8 +53,6 @@
     Chunk(Bytes),
     /// The body is complete.
     End,
-    /// The body ended with the connection to its target, and is not known to be complete.
-    Unproven,
     /// The body will stay incomplete.
     Failed(Verdict, Reason),
 }
@@ -141,10 +139,7 @@
             }) => {
                 self.exchange.acknowledge(self.offset);
                 self.exchange.mark_ended();
-                Some(match verdict {
-                    Verdict::Ran => BodyEvent::Unproven,
-                    verdict => BodyEvent::Failed(verdict, reason),
-                })
+                Some(BodyEvent::Failed(verdict, reason))
             }
             Event::Message(_) => None,
             Event::Lost => Some(BodyEvent::Failed(Verdict::MayHaveRun, Reason::LinkLost)),
@@ -269,10 +264,7 @@
                 self.boundary.push(&bytes);
                 Poll::Ready(Some(Ok(bytes)))
             }
-            BodyEvent::Unproven if !self.is_unframed => {
-                self.break_off(context, Verdict::Ran, Reason::TargetFailed)
-            }
-            BodyEvent::End | BodyEvent::Unproven => {
+            BodyEvent::End => {
                 self.done = true;
                 if let Some(delivery) = self.delivery.take() {
                     delivery.complete();
--- a/src/entry/response.rs
+++ b/src/entry/response.rs
@@ -10,7 +10,7 @@
     caller_stream::UNFRAMED_VERSION,
     control::command::{Outcome, RecordedResponse},
     units::RequestId,
-    verdict::{Reason, Verdict},
+    verdict::Verdict,
 };
 use bytes::{Bytes, BytesMut};
 use hyper::{
@@ -25,7 +25,7 @@
 const MAX_RECORDED_BYTES: usize = 16 * 1024;
 
 /// Buffers a response until it is complete or exceeds [`MAX_BUFFERED_BYTES`]. Returns its body, and
-/// whether all of it is known to be there.
+/// whether it is complete.
 pub async fn buffer_response(
     mut agent_response: AgentResponse,
     is_unframed: bool,
@@ -35,16 +35,10 @@
     loop {
         match agent_response.next().await {
             BodyEvent::Chunk(bytes) => buffered.extend_from_slice(&bytes),
-            BodyEvent::End if !is_unframed => {
-                return Ok((ResponseBody::complete(buffered.freeze()), true));
-            }
-            BodyEvent::Unproven if !is_unframed => {
-                return Err(DispatchError(Verdict::Ran, Reason::TargetFailed));
-            }
-            end @ (BodyEvent::End | BodyEvent::Unproven) => {
-                let body = ResponseBody::Unframed(Some(buffered.freeze()));
-                return Ok((body, matches!(end, BodyEvent::End)));
+            BodyEvent::End if is_unframed => {
+                return Ok((ResponseBody::Unframed(Some(buffered.freeze())), true));
             }
+            BodyEvent::End => return Ok((ResponseBody::complete(buffered.freeze()), true)),
             BodyEvent::Failed(verdict, reason) => return Err(DispatchError(verdict, reason)),
         }
         if buffered.len() > MAX_BUFFERED_BYTES {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -815,11 +815,10 @@
             }
         };
         let framing = Framing::of(&incoming.method, status, &parts.headers);
-        let verdict = match is_whole {
-            true => self.judge_end(&slot, framing, ContentEnd::NotEvents).await,
-            false => EndVerdict::Unproven,
-        };
-        if let EndVerdict::Broken(error) = verdict {
+        if is_whole
+            && let EndVerdict::Broken(error) =
+                self.judge_end(&slot, framing, ContentEnd::NotEvents).await
+        {
             slot.record_failure(&incoming.id, error);
             self.record_break(incoming, progress, &slot, false).await;
             let message = format!("the answer broke off: {error}");
@@ -829,9 +828,7 @@
         let connection = match is_whole {
             true => {
                 self.connections.release(&slot.target, connection);
-                if verdict == EndVerdict::Whole {
-                    slot.record_completion();
-                }
+                slot.record_completion();
                 None
             }
             false => Some(connection),
@@ -856,11 +853,10 @@
             let response = self.relay(incoming, progress, target_response, read);
             return Ok(Some(response));
         }
-        let is_known_whole = verdict == EndVerdict::Whole;
-        if status.is_success() && is_known_whole {
+        if status.is_success() {
             self.record_complete(incoming, &slot);
         }
-        record_response(incoming, &slot, status, framing, is_known_whole, progress);
+        record_response(incoming, &slot, status, framing, progress);
         let mut response = Response::new(Full::new(read));
         *response.status_mut() = status;
         *response.headers_mut() = strip_hop_by_hop(parts.headers);
@@ -943,7 +939,6 @@
     slot: &SlotGuard,
     status: StatusCode,
     framing: Framing,
-    is_whole: bool,
     progress: &Progress,
 ) {
     let took_ms = clock::boot_ms() - incoming.arrived_ms;
@@ -951,7 +946,7 @@
     metrics::gateway_response_completed(&incoming.service, incoming.rank, took_ms);
     tracing::info!(
         request = incoming.id, route = incoming.route.name, target = %slot.target.name,
-        status = status.as_u16(), framing = %framing, is_whole,
+        status = status.as_u16(), framing = %framing,
         took_ms = clock::boot_ms() - incoming.arrived_ms,
         tries = progress.tried_targets.len(), version = incoming.version.0, "gateway: answered"
     );
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -106,8 +106,6 @@
     target_has_event: bool,
     /// What ends the response of the present target.
     framing: Framing,
-    /// Whether the caller's response ends with its connection, too.
-    is_unframed: bool,
     ended: bool,
 }
 
@@ -127,9 +125,9 @@
             slot,
         } = target_response;
         let framing = Framing::of(&incoming.method, response.status(), response.headers());
-        let is_unframed = framing == Framing::Connection;
         let (mut parts, body) = response.into_parts();
-        if is_unframed {
+        // The caller's response ends with its connection, too.
+        if framing == Framing::Connection {
             parts.version = UNFRAMED_VERSION;
             parts.headers.remove(header::CONTENT_LENGTH);
         }
@@ -169,7 +167,6 @@
             target_bytes: 0,
             target_has_event: false,
             framing,
-            is_unframed,
             ended: false,
         };
         (Response::from_parts(parts, ()), relay)
@@ -232,16 +229,9 @@
                 }
                 BodyRead::End(content) => match self.judge_end(content).await {
                     EndVerdict::Whole => {
-                        self.finish(true);
+                        self.finish();
                         return None;
                     }
-                    EndVerdict::Unproven if self.is_unframed => {
-                        self.finish(false);
-                        return None;
-                    }
-                    EndVerdict::Unproven => {
-                        BreakCause::Broken("connection closed, target not reached".into())
-                    }
                     EndVerdict::Broken(why) => BreakCause::Broken(why.into()),
                 },
                 BodyRead::Silent(silent_ms) => BreakCause::Silent(silent_ms),
@@ -436,14 +426,11 @@
         self.slot = slot;
     }
 
-    /// Ends the response. One that is not known to be whole says nothing about its target and
-    /// its request.
-    fn finish(&mut self, is_whole: bool) {
+    /// Ends the response, which is whole.
+    fn finish(&mut self) {
         self.ended = true;
-        if is_whole {
-            self.slot.record_completion();
-            self.attempts.record_complete(&self.incoming, &self.slot);
-        }
+        self.slot.record_completion();
+        self.attempts.record_complete(&self.incoming, &self.slot);
         let took_ms = clock::boot_ms() - self.incoming.arrived_ms;
         metrics::gateway_response_completed(&self.incoming.service, self.incoming.rank, took_ms);
         if let Some(connection) = self.connection.take() {
@@ -454,7 +441,7 @@
         tracing::info!(
             request = self.incoming.id, route = self.incoming.route.name,
             target = %self.slot.target.name, bytes = self.bytes,
-            events = self.events.as_ref().map(EventSplitter::count), framing = %self.framing, is_whole, pause_ms = self.longest_pause_ms,
+            events = self.events.as_ref().map(EventSplitter::count), framing = %self.framing, pause_ms = self.longest_pause_ms,
             took_ms = clock::boot_ms() - self.incoming.arrived_ms, "gateway: stream ends"
         );
     }
--- a/src/gateway/targets/feedback.rs
+++ b/src/gateway/targets/feedback.rs
@@ -230,15 +230,12 @@
     /// Returns what is known of this run of the target after it closed a connection. `asked` is
     /// the result of asking for a new one.
     pub fn target_after(&self, asked: TargetAfter) -> TargetAfter {
-        let (view, state) = (self.targets.view.load(), self.targets.state());
+        let view = self.targets.view.load();
         let listed = view.targets.get(&self.target.name);
         let is_newer = |listed: &TargetEntry| listed.started_unix_ms > self.target.started_unix_ms;
-        let availability = state.availability.get(&self.target, clock::boot_ms());
-        let is_leaving =
-            availability == Availability::Draining || listed.is_none_or(|listed| listed.leaving);
         match listed.is_some_and(is_newer) {
             true => TargetAfter::Gone,
-            false => asked.of_leaving(is_leaving),
+            false => asked,
         }
     }
 
--- a/src/response_end.rs
+++ b/src/response_end.rs
@@ -1,7 +1,8 @@
 //! Decides whether a response of a target that has ended is whole. Pure: no I/O and no clock.
 //!
 //! A response with neither a length nor chunks ends with its connection, whether the target wrote
-//! all of it or crashed. Whether the target still accepts connections tells the two apart.
+//! all of it or stopped. Only a target that still accepts connections shows that it wrote all of it.
+//! One that has said that it leaves may be gone because it was done, or because it was killed.
 //!
 //! | framing | content | target | the response is |
 //! |---|---|---|---|
@@ -10,7 +11,7 @@
 //! | connection | ends before the first event of a stream | any | broken |
 //! | connection | any other | accepts connections | whole |
 //! | connection | any other | refuses connections, or has started again | broken |
-//! | connection | any other | leaving, or not reachable | unproven |
+//! | connection | any other | not reached | broken |
 //!
 //! A caller is told that a response is whole only if its target told so: one that ends with its
 //! connection is passed on like that. If the caller's part has chunks, as another target began
@@ -85,23 +86,11 @@
     Unknown,
 }
 
-impl TargetAfter {
-    /// What a refused connection tells depends on whether the target was about to stop.
-    pub fn of_leaving(self, is_leaving: bool) -> Self {
-        match self {
-            Self::Gone if is_leaving => Self::Unknown,
-            known => known,
-        }
-    }
-}
-
 /// Whether a response that has ended is whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndVerdict {
     /// It is whole.
     Whole,
-    /// Nothing shows that it is not, but its end may be that of its target.
-    Unproven,
     /// It is not whole, for this reason.
     Broken(&'static str),
 }
@@ -127,6 +116,8 @@
         (Framing::Connection, _, TargetAfter::Gone) => {
             EndVerdict::Broken("connection closed by a target that is gone")
         }
-        (Framing::Connection, _, TargetAfter::Unknown) => EndVerdict::Unproven,
+        (Framing::Connection, _, TargetAfter::Unknown) => {
+            EndVerdict::Broken("connection closed, target not reached")
+        }
     }
 }
--- a/tests/response_end.rs
+++ b/tests/response_end.rs
@@ -10,12 +10,12 @@
     use ContentEnd::{AfterEvent, BeforeFirstEvent, BeforeResumedEvent, InsideEvent, NotEvents};
     use Framing::{Chunks, Connection, Length, NoBody};
     use TargetAfter::{Accepts, Gone, Unknown};
-    // 'w': whole, 'u': unproven, 'b': broken, for a target that accepts, is gone, is unknown.
+    // 'w': whole, 'b': broken, for a target that accepts, is gone, is unknown.
     let cases = [
         (NoBody, NotEvents, "www"),
         (Length, NotEvents, "www"),
         (Chunks, NotEvents, "www"),
-        (Connection, NotEvents, "wbu"),
+        (Connection, NotEvents, "wbb"),
         (Length, BeforeFirstEvent, "www"),
         (Chunks, BeforeFirstEvent, "www"),
         (Connection, BeforeFirstEvent, "bbb"),
@@ -24,7 +24,7 @@
         (Connection, BeforeResumedEvent, "bbb"),
         (Length, AfterEvent, "www"),
         (Chunks, AfterEvent, "www"),
-        (Connection, AfterEvent, "wbu"),
+        (Connection, AfterEvent, "wbb"),
         (Length, InsideEvent, "bbb"),
         (Chunks, InsideEvent, "bbb"),
         (Connection, InsideEvent, "bbb"),
@@ -35,7 +35,6 @@
             .to_vec();
         let letters = verdicts.iter().map(|verdict| match verdict {
             EndVerdict::Whole => 'w',
-            EndVerdict::Unproven => 'u',
             EndVerdict::Broken(_) => 'b',
         });
         let letters: String = letters.collect();
@@ -45,21 +44,6 @@
     }
 }
 
-#[test]
-fn a_leaving_target_that_refuses_connections_has_not_crashed() {
-    use TargetAfter::{Accepts, Gone, Unknown};
-    for (known, is_leaving, expected) in [
-        (Accepts, false, Accepts),
-        (Accepts, true, Accepts),
-        (Gone, false, Gone),
-        (Gone, true, Unknown),
-        (Unknown, false, Unknown),
-        (Unknown, true, Unknown),
-    ] {
-        assert_eq!(known.of_leaving(is_leaving), expected);
-    }
-}
-
 #[test]
 fn the_head_tells_what_ends_the_body() {
     type Fields = &'static [(&'static str, &'static str)];
--- a/tests/unframed_outcomes.rs
+++ b/tests/unframed_outcomes.rs
@@ -35,6 +35,8 @@
     Crash,
     /// The same, and has said before that it is leaving.
     Leave,
+    /// Has said before that it is leaving, and still accepts connections.
+    Stay,
     /// Goes on after a long pause.
     Pause,
 }
@@ -73,7 +75,7 @@
     if let After::Pause = answer.after {
         sleep_ms(10_000).await;
     }
-    if !matches!(answer.after, After::Close) {
+    if !matches!(answer.after, After::Close | After::Stay) {
         crash.send_replace(Crash::Begun);
         let mut crash = crash.subscribe();
         let _ = crash.wait_for(|crash| *crash == Crash::Unheard).await;
@@ -151,7 +153,7 @@
         "POST /services/filings/notices HTTP/1.1\r\nhost: guavacove\r\nauthorization: Bearer \
          {LEDGERWELL}\r\nidempotency-key: {key}\r\ncontent-length: 0\r\n\r\n"
     );
-    if let After::Leave = script.after {
+    if let After::Leave | After::Stay = script.after {
         let later = Arc::clone(&is_leaving);
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(100)).await;
@@ -239,8 +241,10 @@
         an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Close, 200, RawEnd::Closed);
     answers_of_crashed_targets_are_not_passed_on =>
         an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Crash, 502, RawEnd::Complete);
+    answers_of_leaving_targets_that_are_gone_are_not_passed_on =>
+        an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Leave, 502, RawEnd::Complete);
     answers_of_leaving_targets_are_passed_on =>
-        an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Leave, 200, RawEnd::Closed);
+        an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Stay, 200, RawEnd::Closed);
     closed_streams_claim_no_more_than_their_target =>
         an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Close, 200, RawEnd::Closed);
     streams_of_crashed_targets_are_broken =>
@@ -249,6 +253,8 @@
         an_answer_claims_no_more_than_its_target(STREAM, HALF_EVENT, After::Close, 200, RawEnd::Broken);
     streams_closed_before_their_first_event_are_broken =>
         an_answer_claims_no_more_than_its_target(STREAM, "", After::Close, 200, RawEnd::Broken);
+    streams_of_leaving_targets_that_are_gone_are_broken =>
+        an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Leave, 200, RawEnd::Broken);
     streams_of_leaving_targets_are_passed_on =>
-        an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Leave, 200, RawEnd::Closed);
+        an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Stay, 200, RawEnd::Closed);
 }
