Let renewals of views end that the leader does not hold

Cause: each change of a gateway's reports (limits of targets, suspects, its registration) dropped the renewal under way and began another. If they changed faster than a busy leader replied, no renewal ever ended, and neither documents nor directories arrived.

Change: only a renewal that the leader may hold is cut short; the next one, which it does not hold, always ends.

--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -293,7 +293,9 @@
                 });
             let reply = tokio::select! {
                 reply = renewal => reply,
-                changed = self.registration.changed() => match changed {
+                // A call that the leader does not hold is not cut short: it brings what is new, and
+                // changes here may come faster than replies.
+                changed = self.registration.changed(), if wait_ms > 0 => match changed {
                     Ok(()) => {
                         // The aborted call was due to renew the view, so the leader must not hold
                         // the next one.
@@ -302,11 +304,11 @@
                     }
                     Err(_) => return,
                 },
-                Ok(()) = self.limits.changed() => {
+                Ok(()) = self.limits.changed(), if wait_ms > 0 => {
                     wait_ms = 0;
                     continue;
                 }
-                Ok(()) = self.suspects.changed() => {
+                Ok(()) = self.suspects.changed(), if wait_ms > 0 => {
                     wait_ms = 0;
                     continue;
                 }
--- a/tests/control_view.rs
+++ b/tests/control_view.rs
@@ -5,11 +5,13 @@
     clock,
     control::{
         ControlClient,
+        directory::LimitReport,
         members::{Member, ProcessRole},
         rpc::{ControlError, SyncReply, SyncRequest},
         state::AcceptedDocument,
     },
     control_view::ControlView,
+    request_limit::RequestLimit,
     units::*,
 };
 use jsonrpsee::{
@@ -44,6 +46,8 @@
     disconnect_at_ms: AtomicU64,
     /// When it last replied.
     replied_ms: AtomicU64,
+    /// Time that each reply takes.
+    reply_delay_ms: u64,
 }
 
 impl MockLeader {
@@ -52,6 +56,7 @@
         if arrived_ms < self.electing_until_ms {
             return Err(ControlError::Unresolved.into());
         }
+        sleep_ms(self.reply_delay_ms).await;
         let lacks_document = request.document_version == DocumentVersion(0);
         if !lacks_document {
             sleep_ms(request.wait_ms).await;
@@ -146,7 +151,44 @@
     assert!(view.load().is_valid(), "the view ran out too early");
 }
 
+/// The limits that a gateway reports change faster than a busy leader replies. Guards against
+/// renewals that are dropped each time, so that none of them brings a new document or directory.
+async fn is_renewed_while_reports_change() {
+    let leader = Arc::new(MockLeader {
+        disconnect_at_ms: AtomicU64::new(u64::MAX),
+        reply_delay_ms: 400,
+        ..MockLeader::default()
+    });
+    let (address, _handle) = Arc::clone(&leader).serve().await;
+    let view = Arc::new(view_of(address));
+    let reporting = {
+        let view = Arc::clone(&view);
+        tokio::spawn(async move {
+            for number in 1.. {
+                view.report_limits(vec![LimitReport {
+                    target: "t".into(),
+                    started_unix_ms: number,
+                    limit: RequestLimit::default(),
+                }]);
+                sleep_ms(100).await;
+            }
+        })
+    };
+    until("a first view", || view.load().is_valid()).await;
+    sleep_ms(3 * 1000).await;
+    let now_ms = clock::boot_ms();
+    let replied_ms = leader.replied_ms.load(Ordering::Relaxed);
+    assert!(
+        replied_ms + 1500 > now_ms,
+        "no renewal for {} ms",
+        now_ms - replied_ms
+    );
+    assert!(view.load().is_valid());
+    reporting.abort();
+}
+
 cases! {
+    a_view_is_renewed_while_reports_change => is_renewed_while_reports_change();
     a_view_stays_valid_after_a_change_of_leader => stays_valid_after_a_change_of_leader();
     a_view_stays_valid_after_a_changed_registration => stays_valid_after_a_changed_registration();
 }
