Acknowledge a change once the processes that act on it have it

Callers saw, on real machines: requests run as only an older configuration allows, and requests at targets that had said that they leave, seconds after the acknowledgement, beside many changes of leader.

Cause of the first: a change was acknowledged at its commit. Gateways get it in later replies of the same thread, which waits for the disk, and after a change of leader from another instance; meanwhile they serve by their older view. Cause of the second: leaving and withdrawals were the soft state of one leader, sent to the others unacknowledged every 250 ms, so that the next leader listed the target as ready again, and gateways took that over their own newer view.

A reader keeps a run that leaves as leaving when another leader lists it as ready.

All control instances must be updated together: an earlier one does not know the new command.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,6 +1,6 @@
 //! Commands of the replicated state machine, and their replies.
 
-use super::orders::Order;
+use super::{departures::Departure, orders::Order};
 use crate::{
     derives::{key, record},
     units::*,
@@ -135,6 +135,8 @@
             /// Claims created before this time are deleted.
             before_unix_ms: u64,
         },
+        /// Records that a run of a target gets no new requests.
+        Depart(Departure),
     }
 
     /// The reply to a command.
--- /dev/null
+++ b/src/control/departures.rs
@@ -0,0 +1,57 @@
+//! Targets that have said that they leave, or have withdrawn: part of the replicated state, so that
+//! no later leader lists them as ready.
+
+use super::directory::AnnouncementVersion;
+use crate::{derives::record, units::TargetName};
+use std::collections::VecDeque;
+
+/// Maximum number of departures; the oldest are forgotten, long after their targets have ended.
+const MAX_DEPARTURES: usize = 1024;
+
+record! {
+    /// A run of a target that gets no new requests.
+    pub struct Departure {
+        /// The target.
+        pub target: TargetName,
+        /// The announcement with which it said so; of a withdrawal, the last one before.
+        pub version: AnnouncementVersion,
+        /// Whether it has withdrawn.
+        pub has_withdrawn: bool,
+    }
+
+    /// The latest departures.
+    #[derive(Default)]
+    pub struct Departures(VecDeque<Departure>);
+}
+
+impl Departures {
+    /// Records a departure, in the place of an earlier one of the same target.
+    pub fn record(&mut self, departure: Departure) {
+        if self.covers(&departure) {
+            return;
+        }
+        self.0.retain(|known| known.target != departure.target);
+        self.0.push_back(departure);
+        if self.0.len() > MAX_DEPARTURES {
+            self.0.pop_front();
+        }
+    }
+
+    /// Whether the departure of that run is recorded.
+    pub fn covers(&self, departure: &Departure) -> bool {
+        let known = self.0.iter().find(|known| known.target == departure.target);
+        known.is_some_and(|known| {
+            let (known_start, start) = (
+                known.version.started_unix_ms,
+                departure.version.started_unix_ms,
+            );
+            known_start > start
+                || known_start == start && (known.has_withdrawn || !departure.has_withdrawn)
+        })
+    }
+
+    /// All of them, the oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = &Departure> {
+        self.0.iter()
+    }
+}
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -9,7 +9,10 @@
 //! a later start holds its address, the target is listed with its second announcement; a single
 //! late one restores nothing.
 
-use super::table::{Changes, Position, Table};
+use super::{
+    departures::Departure,
+    table::{Changes, Position, Table},
+};
 use crate::{derives::record, request_limit::RequestLimit, units::*};
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -113,6 +116,18 @@
 }
 
 impl TargetAnnouncement {
+    /// The departure that it announces, if it does.
+    pub fn departure(&self) -> Option<Departure> {
+        self.entry.leaving.then(|| Departure {
+            target: self.entry.name.clone(),
+            version: AnnouncementVersion {
+                started_unix_ms: self.entry.started_unix_ms,
+                sequence: self.sequence,
+            },
+            has_withdrawn: false,
+        })
+    }
+
     /// Checks that it names a target that can be used. Every reader of the directory is sent what
     /// is accepted here, so one entry must not take much of a reply.
     ///
@@ -273,9 +288,61 @@
         is_news
     }
 
+    /// Applies departures that were recorded under earlier leaders.
+    pub fn apply_departures<'a>(&mut self, departures: impl Iterator<Item = &'a Departure>) {
+        for departure in departures {
+            let Departure {
+                target,
+                version,
+                has_withdrawn,
+            } = departure;
+            let started_unix_ms = version.started_unix_ms;
+            let listed = self.table.get(target);
+            let is_of_run = listed.is_none_or(|listed| listed.started_unix_ms <= started_unix_ms);
+            match has_withdrawn {
+                true if is_of_run => {
+                    let known = self.latest_versions.entry(target.clone());
+                    let known = known.or_insert(*version);
+                    *known = (*known).max(*version);
+                    self.withdraw(target);
+                }
+                false if is_of_run => {
+                    let known = self.latest_versions.entry(target.clone());
+                    let known = known.or_insert(*version);
+                    *known = (*known).max(*version);
+                    self.table.update(target, |entry| entry.leaving = true);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether a target is listed.
+    pub fn lists(&self, name: &TargetName) -> bool {
+        self.table.get(name).is_some()
+    }
+
+    /// The departure of a target that withdraws; `None` if it is unknown.
+    pub fn withdrawal(&self, name: &TargetName) -> Option<Departure> {
+        let version = self.latest_versions.get(name)?;
+        Some(Departure {
+            target: name.clone(),
+            version: *version,
+            has_withdrawn: true,
+        })
+    }
+
+    /// The revision of the last change, as in the positions of readers.
+    pub fn revision(&self) -> u64 {
+        self.table.revision()
+    }
+
     /// Removes a target that has withdrawn; returns whether it was present.
     pub fn withdraw(&mut self, name: &TargetName) -> bool {
         let version = self.latest_versions.get(name).copied();
+        if self.table.get(name).is_none() {
+            self.table.record_removal(name);
+        }
         if let Some(version) = version {
             let sequence = u64::MAX;
             self.add_tombstone(
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,9 +7,11 @@
 //! they cannot reach the leader ([`shares`]).
 
 pub mod accounts;
+pub mod acknowledgements;
 mod api;
 pub mod client;
 pub mod command;
+pub mod departures;
 pub mod directory;
 mod document_checks;
 pub mod limits;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -3,10 +3,13 @@
 
 mod bootstrap;
 mod cache;
+mod in_force;
 mod leader;
 
 use super::{
+    acknowledgements::{Acknowledgements, Awaited, Progress},
     command::{Command, Reply},
+    departures::Departure,
     directory::{self, Directory, LimitReport, TargetAnnouncement},
     limits::{LimitGrant, LimitWant, Limits},
     members::{MEMBER_LEASE_MS, MEMBERS_REBUILD_MS, ProcessRole, ProcessStatus, ProcessTable},
@@ -125,6 +128,44 @@
     Seeds(Vec<SocketAddr>),
 }
 
+/// Where the outcome of a proposed command goes.
+enum Proposer {
+    Caller(ReplySender<Reply>),
+    /// A target that leaves.
+    Target(TargetName, ReplySender<()>),
+}
+
+impl Proposer {
+    fn fail(self, error: &ControlError) {
+        match self {
+            Self::Caller(sender) => drop(sender.send(Err(error.clone()))),
+            Self::Target(_, sender) => drop(sender.send(Err(error.clone()))),
+        }
+    }
+}
+
+/// A reply that is held back until the processes have the change.
+enum HeldReply {
+    Caller(ReplySender<Reply>, Reply),
+    Target(ReplySender<()>),
+}
+
+impl HeldReply {
+    fn send(self) {
+        match self {
+            Self::Caller(sender, reply) => drop(sender.send(Ok(reply))),
+            Self::Target(sender) => drop(sender.send(Ok(()))),
+        }
+    }
+
+    fn fail(self, error: &ControlError) {
+        match self {
+            Self::Caller(sender, _) => drop(sender.send(Err(error.clone()))),
+            Self::Target(sender) => drop(sender.send(Err(error.clone()))),
+        }
+    }
+}
+
 /// An entry's request for limit leases.
 pub struct LimitRequest {
     /// The entry.
@@ -195,8 +236,17 @@
     /// The voters that this replica has invited to bootstrap the group. Invitations may be
     /// delivered late, so the set never changes once sent.
     invited: Option<BTreeSet<ReplicaId>>,
-    batch: Vec<(Command, ReplySender<Reply>)>,
-    pending_proposals: BTreeMap<LogIndex, (Term, ReplySender<Reply>)>,
+    batch: Vec<(Command, Proposer)>,
+    pending_proposals: BTreeMap<LogIndex, (Term, Proposer)>,
+    /// Replies to committed changes that some processes do not have yet.
+    acknowledgements: Acknowledgements<HeldReply>,
+    /// When the latest documents became known here.
+    documents_known_ms: BTreeMap<DocumentVersion, u64>,
+    /// The targets that have left in this term: the revision of the directory that says so, and
+    /// when it became known here.
+    departed: BTreeMap<TargetName, (u64, u64)>,
+    /// The revision of this term's directory that each gateway has.
+    directory_seen: BTreeMap<ProcessName, u64>,
     members: ProcessTable,
     directory: Directory,
     /// State cached outside the log: served without a leader, and restored after a restart.
@@ -262,7 +312,7 @@
                 "control: truncated a torn record of {cut_bytes} bytes at the end of the log"
             );
         }
-        let control = decode_state(&log.snapshot.state)?;
+        let control = ControlState::decode(&log.snapshot.state)?;
         let last_index = log.last_index();
         let is_founder =
             bootstrap::is_founder(&storage, &instance_config) && last_index == LogIndex(0);
@@ -298,6 +348,10 @@
             invited: None,
             batch: Vec::new(),
             pending_proposals: BTreeMap::new(),
+            acknowledgements: Acknowledgements::default(),
+            documents_known_ms: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            directory_seen: BTreeMap::new(),
             members: ProcessTable::default(),
             directory: Directory::default(),
             cache,
@@ -331,7 +385,7 @@
 
     async fn handle(
         &self,
-        myself: ActorRef<Self::Msg>,
+        _myself: ActorRef<Self::Msg>,
         message: Self::Msg,
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
@@ -339,10 +393,7 @@
             ReplicaMessage::Tick => state.tick()?,
             ReplicaMessage::Peer(message) => state.receive_peer(message)?,
             ReplicaMessage::Propose(command, sender) => {
-                if state.batch.is_empty() {
-                    myself.cast(ReplicaMessage::AppendBatch)?;
-                }
-                state.batch.push((command, sender));
+                state.propose(command, Proposer::Caller(sender))?;
             }
             ReplicaMessage::AppendBatch => state.append_batch()?,
             ReplicaMessage::Renew(request, sender) => state.renew(request, sender),
@@ -361,10 +412,14 @@
                 let _ = sender.send(reply);
             }
             ReplicaMessage::Announce(announcement, sender) => {
-                let result = match state.check_leading() {
+                match state.check_leading() {
                     Ok(()) => {
+                        let departure = announcement.departure();
                         state.announce(announcement);
-                        Ok(())
+                        match departure {
+                            Some(departure) => state.depart(departure, sender)?,
+                            None => drop(sender.send(Ok(()))),
+                        }
                     }
                     Err(error) => {
                         // An instance that lost its cache forwards the announcement to those that
@@ -373,15 +428,14 @@
                             state.cache_target(announcement.clone());
                             state.peers.broadcast(&PeerMessage::Heard(announcement));
                         }
-                        Err(error)
+                        let _ = sender.send(Err(error));
                     }
-                };
-                let _ = sender.send(result);
-            }
-            ReplicaMessage::Withdraw(target, sender) => {
-                let result = state.check_leading().map(|()| state.withdraw(&target));
-                let _ = sender.send(result);
+                }
             }
+            ReplicaMessage::Withdraw(target, sender) => match state.check_leading() {
+                Ok(()) => state.withdraw(&target, sender)?,
+                Err(error) => drop(sender.send(Err(error))),
+            },
             ReplicaMessage::ClaimOf(key, sender) => {
                 let reply = state
                     .check_lease()
@@ -404,13 +458,6 @@
     }
 }
 
-fn decode_state(bytes: &Bytes) -> Result<ControlState, ActorProcessingErr> {
-    match bytes.is_empty() {
-        true => Ok(ControlState::default()),
-        false => Ok(postcard::from_bytes(bytes)?),
-    }
-}
-
 impl ReplicaState {
     /// Milliseconds since this process started, from 1, including time suspended.
     fn now_ms(&self) -> u64 {
@@ -472,7 +519,7 @@
                 "control: restored a snapshot up to entry {}",
                 snapshot.index
             );
-            self.control = decode_state(&snapshot.state)?;
+            self.control = ControlState::decode(&snapshot.state)?;
         }
         let version_before = self.control.document().version;
         let mut has_order = false;
@@ -503,9 +550,12 @@
         };
         let is_order = matches!(command, Some(Command::Order { .. }));
         let reply = command.map(|command| self.control.apply(command));
+        self.record_document();
         match (self.pending_proposals.remove(&entry.index), reply) {
-            (Some((term, tx)), Some(reply)) if term == entry.term => drop(tx.send(Ok(reply))),
-            (Some((_, tx)), _) => drop(tx.send(Err(ControlError::Unresolved))),
+            (Some((term, proposer)), Some(reply)) if term == entry.term => {
+                self.acknowledge(proposer, reply);
+            }
+            (Some((_, proposer)), _) => proposer.fail(&ControlError::Unresolved),
             (None, _) => {}
         }
         Ok(is_order)
@@ -609,21 +659,30 @@
         Ok(())
     }
 
+    /// Queues a command for the next batch.
+    fn propose(&mut self, command: Command, proposer: Proposer) -> Result<(), ActorProcessingErr> {
+        if self.batch.is_empty() {
+            self.myself.cast(ReplicaMessage::AppendBatch)?;
+        }
+        self.batch.push((command, proposer));
+        Ok(())
+    }
+
     fn append_batch(&mut self) -> Result<(), ActorProcessingErr> {
         let batch = std::mem::take(&mut self.batch);
         if self.check_lease().is_err() {
-            for (_, sender) in batch {
-                let _ = sender.send(Err(self.not_leader_error()));
+            for (_, proposer) in batch {
+                proposer.fail(&self.not_leader_error());
             }
             return Ok(());
         }
         let mut commands = Vec::with_capacity(batch.len());
         let mut index = self.core.log().last_index();
-        for (command, sender) in batch {
+        for (command, proposer) in batch {
             commands.push(Bytes::from(postcard::to_stdvec(&command)?));
             index = index.next();
             self.pending_proposals
-                .insert(index, (self.core.term(), sender));
+                .insert(index, (self.core.term(), proposer));
         }
         self.step(Input::Propose(commands))?;
         Ok(())
@@ -640,7 +699,7 @@
         if is_small && entries.iter().map(bytes).sum::<usize>() < SNAPSHOT_AFTER_BYTES {
             return Ok(());
         }
-        let state = postcard::to_stdvec(&self.control)?.into();
+        let state = self.control.encode()?.into();
         let index = self.core.commit_index();
         self.step(Input::Compact { index, state })?;
         Ok(())
@@ -670,8 +729,11 @@
     }
 
     fn fail_pending_proposals(&mut self) {
-        for (_, (_, sender)) in std::mem::take(&mut self.pending_proposals) {
-            let _ = sender.send(Err(ControlError::Unresolved));
+        for (_, (_, proposer)) in std::mem::take(&mut self.pending_proposals) {
+            proposer.fail(&ControlError::Unresolved);
+        }
+        for held in self.acknowledgements.take_all() {
+            held.fail(&ControlError::Unresolved);
         }
         self.fail_pending_renewals();
     }
--- /dev/null
+++ b/src/control/replica/in_force.rs
@@ -0,0 +1,135 @@
+//! Acknowledgements of changes: sent once the processes that act on a change have it.
+
+use super::*;
+
+/// Number of documents of which it is kept when they became known.
+const MAX_KNOWN_DOCUMENTS: usize = 64;
+/// Number of targets of which it is kept when their leaving became known.
+const MAX_KNOWN_DEPARTURES: usize = 4096;
+
+impl ReplicaState {
+    /// Records when the document in force became known.
+    pub(super) fn record_document(&mut self) {
+        let (version, now_ms) = (self.control.document().version, self.now_ms());
+        self.documents_known_ms.entry(version).or_insert(now_ms);
+        if self.documents_known_ms.len() > MAX_KNOWN_DOCUMENTS {
+            self.documents_known_ms.pop_first();
+        }
+    }
+
+    /// When this instance, as the leader, first knew this version or a later one.
+    fn document_known_ms(&self, version: DocumentVersion) -> u64 {
+        let known_ms = self.documents_known_ms.range(version..).map(|(_, at)| *at);
+        known_ms.min().unwrap_or(0).max(self.leader_since_ms)
+    }
+
+    /// Replies to a committed command; a change of the document or of the directory only once the
+    /// processes have it.
+    pub(super) fn acknowledge(&mut self, proposer: Proposer, reply: Reply) {
+        match (proposer, reply) {
+            (Proposer::Caller(sender), Reply::Applied(version)) => {
+                let (awaited, held) = (
+                    Awaited::Document(version),
+                    HeldReply::Caller(sender, Reply::Applied(version)),
+                );
+                let known_ms = self.document_known_ms(version);
+                self.acknowledgements.hold(awaited, known_ms, held);
+            }
+            (Proposer::Caller(sender), reply) => drop(sender.send(Ok(reply))),
+            (Proposer::Target(target, sender), _) => self.hold_departure(target, sender),
+        }
+    }
+
+    /// Records that a run of a target gets no new requests, and replies once that is replicated
+    /// and the gateways know it.
+    pub(super) fn depart(
+        &mut self,
+        departure: Departure,
+        sender: ReplySender<()>,
+    ) -> Result<(), ActorProcessingErr> {
+        let target = departure.target.clone();
+        match self.control.departures().covers(&departure) {
+            true => {
+                self.hold_departure(target, sender);
+                Ok(())
+            }
+            false => self.propose(Command::Depart(departure), Proposer::Target(target, sender)),
+        }
+    }
+
+    /// Removes a target from the directory for good.
+    pub(super) fn withdraw(
+        &mut self,
+        target: &TargetName,
+        sender: ReplySender<()>,
+    ) -> Result<(), ActorProcessingErr> {
+        let departure = self.directory.withdrawal(target);
+        let is_listed = self.directory.lists(target);
+        if is_listed {
+            self.departed.remove(target);
+        }
+        // Gateways may list a target that this leader does not know.
+        if !self.departed.contains_key(target) {
+            self.directory.withdraw(target);
+            tracing::info!(%target, is_listed, "control: target withdrawn");
+            self.has_updates = true;
+        }
+        match departure {
+            Some(departure) => self.depart(departure, sender),
+            None => {
+                self.hold_departure(target.clone(), sender);
+                Ok(())
+            }
+        }
+    }
+
+    fn hold_departure(&mut self, target: TargetName, sender: ReplySender<()>) {
+        let known = (self.directory.revision(), self.now_ms());
+        let (revision, known_ms) = *self.departed.entry(target).or_insert(known);
+        if self.departed.len() > MAX_KNOWN_DEPARTURES {
+            self.departed.pop_first();
+        }
+        let held = HeldReply::Target(sender);
+        self.acknowledgements
+            .hold(Awaited::Targets(revision), known_ms, held);
+    }
+
+    /// Records which revision of this term's directory a gateway has.
+    pub(super) fn record_directory_seen(&mut self, request: &SyncRequest) {
+        let term = FencingNumber(self.core.term().0);
+        let seen = request.targets_seen.as_ref();
+        let revision = seen.filter(|seen| seen.epoch.0 == term);
+        let revision = revision.map_or(0, |seen| seen.revision);
+        let name = request.member.name.clone();
+        self.directory_seen.insert(name, revision);
+    }
+
+    /// Sends the acknowledgements that are due.
+    pub(super) fn send_acknowledgements(&mut self, now_ms: u64) {
+        if self.acknowledgements.is_empty() {
+            return;
+        }
+        let statuses = self.members.statuses().into_iter();
+        let directory_seen = &self.directory_seen;
+        let progress = statuses.filter_map(|status| {
+            let targets_revision = match status.member.role {
+                ProcessRole::Gateway => {
+                    let revision = directory_seen.get(&status.member.name);
+                    Some(revision.copied().unwrap_or(0))
+                }
+                ProcessRole::Entry => None,
+                ProcessRole::Agent => return None,
+            };
+            Some(Progress {
+                document_version: status.document_version,
+                targets_revision,
+            })
+        });
+        let due = self
+            .acknowledgements
+            .take_due(progress, self.members_complete, now_ms);
+        for held in due {
+            held.send();
+        }
+    }
+}
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -17,6 +17,10 @@
             self.directory_complete = false;
             self.members = ProcessTable::default();
             self.directory = Directory::from_announcements(self.cache.targets.clone(), now_ms);
+            self.directory
+                .apply_departures(self.control.departures().iter());
+            self.departed.clear();
+            self.directory_seen.clear();
             self.demands = DemandTable::new(self.cache.gateways, now_ms);
             // If no instance has led since this one started, no quota was charged meanwhile.
             let idle_ms = if self.had_leader { 0 } else { now_ms };
@@ -73,6 +77,7 @@
             self.reply_to_changed();
         }
         self.reply_to_expired(now_ms);
+        self.send_acknowledgements(now_ms);
         self.log_silent_voters(now_ms);
         self.repair_membership(now_ms)?;
         if now_ms >= self.claims_expired_ms + CLAIM_EXPIRY_INTERVAL_MS {
@@ -150,6 +155,9 @@
         metrics::control_announcement();
         let now_ms = self.now_ms();
         let TargetAnnouncement { entry, sequence } = announcement.clone();
+        if !announcement.entry.leaving {
+            self.departed.remove(&announcement.entry.name);
+        }
         if self.directory.announce(announcement, now_ms) {
             tracing::info!(
                 target = %entry.name, service = %entry.service, address = %entry.address,
@@ -189,14 +197,6 @@
         }
     }
 
-    /// Removes a target from the directory.
-    pub(super) fn withdraw(&mut self, target: &TargetName) {
-        if self.directory.withdraw(target) {
-            tracing::info!(%target, "control: target withdrawn");
-            self.has_updates = true;
-        }
-    }
-
     pub(super) fn fail_pending_renewals(&mut self) {
         for request in std::mem::take(&mut self.pending_limits) {
             let _ = request.sender.send(Err(self.not_leader_error()));
@@ -219,11 +219,13 @@
         let changed = match request.goodbye {
             true => {
                 self.members.remove(&request.member.name);
+                self.directory_seen.remove(&request.member.name);
                 self.demands.remove(&request.member.name);
                 true
             }
             false => {
                 if request.member.role == ProcessRole::Gateway {
+                    self.record_directory_seen(&request);
                     let (name, demand) = (request.member.name.clone(), request.demand.clone());
                     self.demands.report(name, demand, now_ms);
                     self.report_limits(&request.member.name, &request.limits);
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,6 +1,6 @@
 //! The replicated state machine: the document, change IDs, claims and orders.
 
-use super::{command::*, orders::TargetOrders};
+use super::{command::*, departures::Departures, orders::TargetOrders};
 use crate::{derives::record, units::*};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -35,10 +35,43 @@
         changes: VecDeque<ChangeRecord>,
         claims: BTreeMap<ClaimKey, Claim>,
         orders: BTreeMap<TargetName, TargetOrders>,
+        /// Encoded after the other fields, as earlier versions do not have it.
+        #[serde(skip)]
+        departures: Departures,
     }
 }
 
 impl ControlState {
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    /// Fails if a value cannot be encoded.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let mut bytes = postcard::to_stdvec(self)?;
+        bytes.extend(postcard::to_stdvec(&self.departures)?);
+        Ok(bytes)
+    }
+
+    /// Decodes the state of a snapshot; an empty one is the initial state.
+    ///
+    /// # Errors
+    /// Fails if the bytes are no state.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let (mut state, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            state.departures = postcard::from_bytes(rest)?;
+        }
+        Ok(state)
+    }
+
+    /// The targets that get no new requests.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// The document in force.
     pub fn document(&self) -> &AcceptedDocument {
         &self.document
@@ -94,6 +127,10 @@
                     .retain(|_, claim| claim.created_unix_ms >= before_unix_ms);
                 Reply::Done
             }
+            Command::Depart(departure) => {
+                self.departures.record(departure);
+                Reply::Done
+            }
         }
     }
 
--- a/src/control/table.rs
+++ b/src/control/table.rs
@@ -85,14 +85,19 @@
     pub fn remove(&mut self, key: &K) -> bool {
         let removed = self.rows.remove(key).is_some();
         if removed {
-            self.revision += 1;
-            self.removals.push_back((self.revision, key.clone()));
+            self.record_removal(key);
         }
+        removed
+    }
+
+    /// Tells readers that there is no such row; they may have it from an earlier leader.
+    pub fn record_removal(&mut self, key: &K) {
+        self.revision += 1;
+        self.removals.push_back((self.revision, key.clone()));
         while self.removals.len() > MAX_REMOVALS {
             let dropped = self.removals.pop_front();
             self.dropped_revision = dropped.map_or(0, |(revision, _)| revision);
         }
-        removed
     }
 
     /// Removes rows with an expired lease; returns their keys.
@@ -106,6 +111,11 @@
         expired_keys
     }
 
+    /// The revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns the value of a row.
     pub fn get(&self, key: &K) -> Option<&V> {
         self.rows.get(key).map(|row| &row.value)
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -549,8 +549,18 @@
         for name in &changes.removed {
             targets.remove(name);
         }
-        let present = changes.present.into_iter();
-        targets.extend(present.map(|target| (target.name.clone(), target)));
+        // Another leader may know less of a run that leaves.
+        let seen = view.targets_seen.as_ref();
+        let is_same_leader = seen.is_some_and(|seen| seen.epoch.0 == changes.seen.epoch.0);
+        let before = Arc::clone(&view.targets);
+        let present = changes.present.into_iter().map(|mut target| {
+            let known = before.get(&target.name).filter(|_| !is_same_leader);
+            target.leaving |= known.is_some_and(|known| {
+                known.leaving && known.started_unix_ms == target.started_unix_ms
+            });
+            (target.name.clone(), target)
+        });
+        targets.extend(present);
         if changes.whole {
             remove_replaced(&mut targets);
         }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -4,10 +4,14 @@
 
 use guavacove::{
     control::{
+        command::{Command, Reply},
+        departures::{Departure, Departures},
         directory::{
-            AnnouncementError, Directory, TargetAnnouncement, TargetEntry, remove_replaced,
+            AnnouncementError, AnnouncementVersion, Directory, TargetAnnouncement, TargetEntry,
+            remove_replaced,
         },
         rpc::CachedState,
+        state::ControlState,
     },
     request_limit::RequestLimit,
     units::FencingNumber,
@@ -340,3 +344,72 @@
     the_highest_sequence_number: |a| a.sequence = (1 << 53) - 1 => Ok(());
     a_sequence_number_that_is_too_large: |a| a.sequence = u64::MAX => Err(AnnouncementError::Sequence);
 }
+
+fn departure(sequence: u64, started_unix_ms: u64, has_withdrawn: bool) -> Departure {
+    Departure {
+        target: "t".into(),
+        version: AnnouncementVersion {
+            started_unix_ms,
+            sequence,
+        },
+        has_withdrawn,
+    }
+}
+
+/// A new leader starts from a cache that may be older than an acknowledged departure.
+#[test]
+fn departures_bind_the_next_leader() {
+    // The departure, and what the leader lists of the run that began at 5.
+    let cases = [
+        (departure(9, 5, false), Some(true)),
+        (departure(9, 5, true), None),
+        // Of an earlier run.
+        (departure(9, 4, false), Some(false)),
+        (departure(9, 4, true), Some(false)),
+    ];
+    for (departure, expected) in cases {
+        let cached = vec![announcement("t", 5, 7, false)];
+        let mut directory = Directory::from_announcements(cached, 0);
+        directory.apply_departures([&departure].into_iter());
+        // A heartbeat from before the departure comes late.
+        directory.announce(announcement("t", 5, 8, false), 10);
+        let leaving = names(&directory).first().map(|(_, leaving)| *leaving);
+        assert_eq!(leaving, expected, "{departure:?}");
+        assert!(
+            directory.announce(announcement("t", 6, 1, false), 20),
+            "its next run"
+        );
+    }
+}
+
+#[test]
+fn the_latest_departure_of_a_target_is_kept() {
+    let mut departures = Departures::default();
+    // Whether it is covered before it is recorded.
+    let recorded = [
+        (departure(1, 5, false), false),
+        (departure(2, 5, false), true),
+        (departure(3, 5, true), false),
+        (departure(4, 5, false), true),
+        (departure(9, 4, true), true),
+        (departure(1, 6, false), false),
+    ];
+    for (departure, is_covered) in recorded {
+        assert_eq!(departures.covers(&departure), is_covered, "{departure:?}");
+        departures.record(departure);
+    }
+    assert_eq!(departures.iter().count(), 1);
+}
+
+/// Snapshots of earlier versions hold no departures.
+#[test]
+fn departures_survive_a_snapshot_and_its_absence() {
+    let mut state = ControlState::default();
+    let earlier = postcard::to_stdvec(&state).unwrap();
+    let reply = state.apply(Command::Depart(departure(1, 5, true)));
+    assert_eq!(reply, Reply::Done);
+    let decoded = ControlState::decode(&state.encode().unwrap()).unwrap();
+    assert!(decoded.departures().covers(&departure(1, 5, true)));
+    let decoded = ControlState::decode(&earlier).unwrap();
+    assert_eq!(decoded.departures().iter().count(), 0);
+}
