--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -187,11 +187,11 @@
         let mut has_new_address = false;
         for known in &presence.known {
             if known.silent_ms < CONTACT_RETENTION_MS {
-                let heard_ms = now_ms as i64 - known.silent_ms as i64;
+                let heard_ms = now_ms.cast_signed() - known.silent_ms.cast_signed();
                 has_new_address |= self.learn(known.replica, known.addresses, heard_ms);
             }
         }
-        has_new_address |= self.learn(presence.replica, presence.addresses, now_ms as i64);
+        has_new_address |= self.learn(presence.replica, presence.addresses, now_ms.cast_signed());
         let address = presence.addresses.peer;
         self.presences.insert(
             address,
@@ -246,10 +246,8 @@
         let mut others_heard_ms: Vec<i64> = others.map(|(_, contact)| contact.heard_ms).collect();
         others_heard_ms.sort_unstable_by(|a, b| b.cmp(a));
         let oldest_ms = others_heard_ms.get(MAX_CONTACTS - 1).copied();
-        let retained_from_ms = now_ms as i64 - CONTACT_RETENTION_MS as i64;
-        let resumed_ms = self
-            .resumed_ms
-            .map_or(i64::MIN, |resumed_ms| resumed_ms as i64);
+        let retained_from_ms = now_ms.cast_signed() - CONTACT_RETENTION_MS.cast_signed();
+        let resumed_ms = self.resumed_ms.map_or(i64::MIN, u64::cast_signed);
         let members = &self.members;
         self.contacts.retain(|id, contact| {
             let is_latest = contact.heard_ms >= latest_ms[&contact.addresses.peer];
@@ -267,7 +265,9 @@
         let known = self.contacts.iter().map(|(id, contact)| KnownInstance {
             replica: *id,
             addresses: contact.addresses,
-            silent_ms: (now_ms as i64 - contact.heard_ms).max(0) as u64,
+            silent_ms: (now_ms.cast_signed() - contact.heard_ms)
+                .max(0)
+                .cast_unsigned(),
         });
         Presence {
             replica: self.own,
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -34,7 +34,7 @@
     assert_eq!(early.wait_briefly().await, None, "it has no quotas yet");
     let mut policy = Policy::default();
     policy.version = DocumentVersion(1);
-    quota_server.set_policy(policy);
+    quota_server.set_policy(policy.into());
     let mut asked = link.request_charge(address, quota_charge(), 0).unwrap();
     // Without a quota in the document there is no limit.
     assert_eq!(
