Forget what the leader kept of gateways that are gone and of silent voters

The revision of the directory that a gateway has stayed in a map until the next term after its lease had expired, and guavacove.control.silent_voters kept its last value on an instance that no longer leads. Both are cleared now. Found by reading; nothing acted on either.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -599,6 +599,7 @@
         } else {
             self.quota_server.stop_charging();
             self.fail_pending_proposals();
+            self.clear_silent_voters();
             Ok(())
         }
     }
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -47,6 +47,7 @@
         self.demands.expire(now_ms);
         for name in &expired_members {
             self.demands.mark_silent(name);
+            self.directory_seen.remove(name);
             tracing::warn!("control: removed {name}: no renewal for {MEMBER_LEASE_MS} ms");
         }
         let expired_targets = self.directory.expire(self.target_lease_ms, now_ms);
@@ -102,11 +103,22 @@
                 silent = names.join(" "),
                 "control: silent voters changed"
             );
-            metrics::control_silent_voters(silent.len() as u64);
-            self.silent_voters = silent;
+            self.set_silent_voters(silent);
         }
     }
 
+    /// Forgets which voters are silent: only the leader tells.
+    pub(super) fn clear_silent_voters(&mut self) {
+        if !self.silent_voters.is_empty() {
+            self.set_silent_voters(BTreeSet::new());
+        }
+    }
+
+    fn set_silent_voters(&mut self, silent: BTreeSet<ReplicaId>) {
+        metrics::control_silent_voters(silent.len() as u64);
+        self.silent_voters = silent;
+    }
+
     /// Proposes the next membership change that the group needs, if any.
     pub(super) fn repair_membership(&mut self, now_ms: u64) -> Result<(), ActorProcessingErr> {
         let change = self.roster.next_membership_change(
