Do not learn again of instances that were dropped as too many

Where more than 64 instances beside the members were silent, two instances that kept different ones of them told each other of those with each presence message; each time that was news, which was stored and answered at once. Hearsay that is older than all that is kept is now ignored.

Test: the_number_of_contacts_is_bounded, which fails without the rule.

--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -211,6 +211,9 @@
                     && contact.addresses.peer == addresses.peer
                     && contact.heard_ms >= heard_ms
             });
+        let would_be_removed = !self.members.contains(&id)
+            && !self.contacts.contains_key(&id)
+            && heard_ms < self.oldest_kept_ms();
         match self.contacts.get_mut(&id) {
             _ if id == self.own || is_outdated => false,
             Some(contact) if contact.heard_ms > heard_ms => false,
@@ -222,6 +225,7 @@
                 };
                 is_new
             }
+            None if would_be_removed => false,
             None => {
                 let contact = Contact {
                     addresses,
@@ -233,6 +237,15 @@
         }
     }
 
+    /// When the oldest contact beside the members was heard that is kept, if there are many.
+    fn oldest_kept_ms(&self) -> i64 {
+        let others = self.contacts.iter();
+        let others = others.filter(|(id, _)| !self.members.contains(id));
+        let mut heard_ms: Vec<i64> = others.map(|(_, contact)| contact.heard_ms).collect();
+        heard_ms.sort_unstable_by(|a, b| b.cmp(a));
+        heard_ms.get(MAX_CONTACTS - 1).copied().unwrap_or(i64::MIN)
+    }
+
     /// Removes replicas that are no members and whose instance runs with another disk, has been
     /// silent for a long time, or has been silent the longest if there are many.
     pub fn prune_addresses(&mut self, now_ms: u64) {
@@ -241,18 +254,14 @@
             let latest_ms = latest_ms.entry(contact.addresses.peer).or_insert(i64::MIN);
             *latest_ms = contact.heard_ms.max(*latest_ms);
         }
-        let others = self.contacts.iter();
-        let others = others.filter(|(id, _)| !self.members.contains(id));
-        let mut others_heard_ms: Vec<i64> = others.map(|(_, contact)| contact.heard_ms).collect();
-        others_heard_ms.sort_unstable_by(|a, b| b.cmp(a));
-        let oldest_ms = others_heard_ms.get(MAX_CONTACTS - 1).copied();
+        let oldest_ms = self.oldest_kept_ms();
         let retained_from_ms = now_ms.cast_signed() - CONTACT_RETENTION_MS.cast_signed();
         let resumed_ms = self.resumed_ms.map_or(i64::MIN, u64::cast_signed);
         let members = &self.members;
         self.contacts.retain(|id, contact| {
             let is_latest = contact.heard_ms >= latest_ms[&contact.addresses.peer];
             let is_recent = contact.heard_ms.max(resumed_ms) >= retained_from_ms
-                && oldest_ms.is_none_or(|oldest_ms| contact.heard_ms >= oldest_ms);
+                && contact.heard_ms >= oldest_ms;
             members.contains(id) || is_latest && is_recent
         });
         let contacts = &self.contacts;
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -369,6 +369,13 @@
     let kept = roster.addresses();
     assert_eq!(kept.len(), 2 + 64);
     assert!([2, 3, 199].iter().all(|disk| kept.contains_key(&id(*disk))));
+    // Of one that was dropped another instance may still tell, again and again.
+    let hearsay = Presence {
+        known: vec![known(10, 10, 3000)],
+        ..presence(2, 2, false, true)
+    };
+    assert!(!roster.record_presence(hearsay, 2010), "no news");
+    assert_eq!(roster.addresses().len(), 2 + 64);
 }
 
 #[test]
