--- a/src/console/api.rs
+++ b/src/console/api.rs
@@ -102,16 +102,16 @@
             Err(error) => return Ok(bad_request(&error)),
         };
         let current = self.current_document().await?;
-        let (current_yaml, yaml) = (to_yaml(&parse(&current)), to_yaml(&draft));
-        let compiled = tokio::task::block_in_place(|| Policy::compile(DocumentVersion(0), &yaml));
-        let reply = json!({
-            "version": current.version,
-            "diff": diff_lines(&current_yaml, &yaml),
-            "loses_comments": current_yaml != current.yaml && current.version > DocumentVersion(0),
-            "faults": compiled.err().map_or(Vec::new(), |errors| errors.0),
-            "yaml": yaml,
-        });
-        Ok(json_response(StatusCode::OK, &reply))
+        let checking = tokio::task::spawn_blocking(move || check_draft(&current, &draft));
+        match checking.await {
+            Ok(reply) => Ok(json_response(StatusCode::OK, &reply)),
+            Err(error) => {
+                tracing::error!(%error, "console: the check of a draft failed");
+                let message = "the check of the draft failed; the log has the reason";
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                Ok(error_response(status, "check-failed", message))
+            }
+        }
     }
 
     async fn apply(&self, body: &str) -> Result<Response<ResponseBody>, ControlCallError> {
@@ -194,6 +194,19 @@
     })
 }
 
+/// Compares a draft with the document in force, and validates it.
+fn check_draft(current: &AcceptedDocument, draft: &Value) -> Value {
+    let (current_yaml, yaml) = (to_yaml(&parse(current)), to_yaml(draft));
+    let compiled = Policy::compile(DocumentVersion(0), &yaml);
+    json!({
+        "version": current.version,
+        "diff": diff_lines(&current_yaml, &yaml),
+        "loses_comments": current_yaml != current.yaml && current.version > DocumentVersion(0),
+        "faults": compiled.err().map_or(Vec::new(), |errors| errors.0),
+        "yaml": yaml,
+    })
+}
+
 fn bad_request(error: &serde_json::Error) -> Response<ResponseBody> {
     let message = format!("the request is not what is expected: {error}");
     error_response(StatusCode::BAD_REQUEST, "bad-request", &message)
