Name what ends a response by its framing, and stop watching settings in one place

ResponseCut no longer records a cut, only the framing of the last response. Five commands waited for a stop and for changed settings in the same lines.

--- a/src/arguments.rs
+++ b/src/arguments.rs
@@ -342,10 +342,9 @@
         let telemetry = Telemetry::install(&settings.telemetry, &settings.name.0);
         let watch = SettingsWatch::install(self.settings.clone());
         let entry = Entry::bind(&settings).await?;
-        tokio::select! {
-            () = signals::stop_requested() => {}
-            () = watch.run(|settings| entry.update_settings(settings)) => {}
-        }
+        watch
+            .run_until_stop(|settings| entry.update_settings(settings))
+            .await;
         entry.shutdown().await;
         telemetry.flush();
         Ok(())
@@ -358,10 +357,9 @@
         let telemetry = Telemetry::install(&settings.telemetry, &settings.name.0);
         let watch = SettingsWatch::install(self.settings.clone());
         let agent = Agent::bind(&settings).await?;
-        tokio::select! {
-            () = signals::stop_requested() => {}
-            () = watch.run(|settings| agent.update_settings(settings)) => {}
-        }
+        watch
+            .run_until_stop(|settings| agent.update_settings(settings))
+            .await;
         agent.shutdown().await;
         telemetry.flush();
         Ok(())
@@ -374,10 +372,9 @@
         let telemetry = Telemetry::install(&settings.telemetry, &settings.name.0);
         let watch = SettingsWatch::install(self.settings.clone());
         let gateway = Gateway::bind(&settings, dialect).await?;
-        tokio::select! {
-            () = signals::stop_requested() => {}
-            () = watch.run(|settings| gateway.update_settings(settings)) => {}
-        }
+        watch
+            .run_until_stop(|settings| gateway.update_settings(settings))
+            .await;
         gateway.shutdown().await;
         telemetry.flush();
         Ok(())
@@ -390,11 +387,8 @@
         let telemetry = Telemetry::install(&settings.telemetry, &settings.name.0);
         let watch = SettingsWatch::install(self.settings.clone());
         let _admission_agent = AdmissionAgent::bind(&settings).await?;
-        tokio::select! {
-            () = signals::stop_requested() => {}
-            // None of its settings applies to a running agent.
-            () = watch.run(|_: &AdmissionSettings| {}) => {}
-        }
+        // None of its settings applies to a running agent.
+        watch.run_until_stop(|_: &AdmissionSettings| {}).await;
         tracing::info!(name = %settings.name, "agent: stops");
         telemetry.flush();
         Ok(())
@@ -410,8 +404,7 @@
         let mut control = ControlServer::spawn(&settings, dialect).await?;
         let update = control.settings_updater();
         tokio::select! {
-            () = signals::stop_requested() => {}
-            () = watch.run(update) => {}
+            () = watch.run_until_stop(update) => {}
             () = control.failed() => {
                 let message = "the replica stopped; see its last log line for the reason".to_string();
                 return Err(CommandError::Failed(message));
--- a/src/caller_stream.rs
+++ b/src/caller_stream.rs
@@ -21,14 +21,14 @@
 /// nor chunks for this one only.
 pub const UNFRAMED_VERSION: Version = Version::HTTP_10;
 
-/// How the last response on a connection ends.
+/// What ends the last response on a connection.
 #[derive(Default)]
-pub struct ResponseCut {
+pub struct ResponseFraming {
     /// Whether only the end of the connection ends the last response.
     is_unframed: AtomicBool,
 }
 
-impl ResponseCut {
+impl ResponseFraming {
     /// Records that a response with this body begins.
     pub fn begin<B: Body>(&self, request: Version, response: &Response<B>) {
         let has_length = response.body().size_hint().exact().is_some();
@@ -47,16 +47,16 @@
 /// response.
 pub struct CallerStream {
     stream: TcpStream,
-    cut: Arc<ResponseCut>,
+    framing: Arc<ResponseFraming>,
     is_reset_on_close: bool,
 }
 
 impl CallerStream {
-    /// Wraps a connection; `cut` tells how its responses end.
-    pub fn new(stream: TcpStream, cut: Arc<ResponseCut>) -> Self {
+    /// Wraps a connection; `framing` tells what ends its responses.
+    pub fn new(stream: TcpStream, framing: Arc<ResponseFraming>) -> Self {
         Self {
             stream,
-            cut,
+            framing,
             is_reset_on_close: false,
         }
     }
@@ -72,7 +72,7 @@
 
     /// Prepares the connection for the response that is written to it.
     fn before_write(&mut self) -> io::Result<()> {
-        let is_unframed = self.cut.is_unframed.load(Ordering::Relaxed);
+        let is_unframed = self.framing.is_unframed.load(Ordering::Relaxed);
         self.reset_on_close(is_unframed)
     }
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     accept,
-    caller_stream::{CallerStream, ResponseCut, UNFRAMED_VERSION},
+    caller_stream::{CallerStream, ResponseFraming, UNFRAMED_VERSION},
     clock,
     control::{
         ControlClient,
@@ -301,15 +301,15 @@
         let for_service = Arc::clone(&last_answer);
         let limits = shared.view.load().policy.caller_limits;
         let for_connection = Arc::clone(&shared);
-        let cut = Arc::<ResponseCut>::default();
-        let (for_response, for_stream) = (Arc::clone(&cut), Arc::clone(&cut));
+        let framing = Arc::<ResponseFraming>::default();
+        let (for_response, for_stream) = (Arc::clone(&framing), Arc::clone(&framing));
         let service = service_fn(move |request: Request<Incoming>| {
             let shared = Arc::clone(&for_connection);
             let last_answer = Arc::clone(&for_service);
-            let (cut, version) = (Arc::clone(&for_response), request.version());
+            let (framing, version) = (Arc::clone(&for_response), request.version());
             async move {
                 let response = shared.handle(request, &last_answer).await;
-                cut.begin(version, &response);
+                framing.begin(version, &response);
                 Ok::<_, Infallible>(response)
             }
         });
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     accept,
-    caller_stream::{CallerStream, ResponseCut},
+    caller_stream::{CallerStream, ResponseFraming},
 };
 use bytes::Bytes;
 use hyper::{
@@ -115,14 +115,14 @@
         };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
-        let cut = Arc::<ResponseCut>::default();
-        let (for_response, for_stream) = (Arc::clone(&cut), Arc::clone(&cut));
+        let framing = Arc::<ResponseFraming>::default();
+        let (for_response, for_stream) = (Arc::clone(&framing), Arc::clone(&framing));
         let service = service_fn(move |request: Request<Incoming>| {
-            let (cut, version) = (Arc::clone(&for_response), request.version());
+            let (framing, version) = (Arc::clone(&for_response), request.version());
             let response = handler(request);
             async move {
                 let response = response.await;
-                cut.begin(version, &response);
+                framing.begin(version, &response);
                 Ok::<_, Infallible>(response)
             }
         });
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -44,8 +44,16 @@
         }
     }
 
-    /// Passes the settings to `apply` after each change. Invalid ones are logged and not applied.
-    pub async fn run<S: Settings>(mut self, apply: impl Fn(&S)) {
+    /// Applies changes until the process is asked to stop: passes the settings to `apply` after
+    /// each. Invalid ones are logged and not applied.
+    pub async fn run_until_stop<S: Settings>(self, apply: impl Fn(&S)) {
+        tokio::select! {
+            () = stop_requested() => {}
+            () = self.run(apply) => {}
+        }
+    }
+
+    async fn run<S: Settings>(mut self, apply: impl Fn(&S)) {
         loop {
             let poll_interval = Duration::from_millis(SETTINGS_POLL_INTERVAL_MS);
             let asked = match &mut self.hangup {
