State the cases of silence as a table

Five tests of one shape become rows: phases in which instances are heard, and the change that follows. The rows are the former cases; the two halves of the one on suspension are two rows now.

--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -195,84 +195,59 @@
     assert_eq!(next_change(&roster, &members(&[1, 2, 3], &[]), 20), None);
 }
 
-/// Has a roster run from `from_ms` on, hearing these instances all the time, until `to_ms`.
-fn hear_all(
-    roster: &mut Roster,
-    membership: &Membership,
-    instances: &[(u64, u8)],
-    (from_ms, to_ms): (u64, u64),
-) {
-    for now_ms in (from_ms..=to_ms).step_by(100) {
-        record_all(roster, instances, now_ms);
-        roster.observe(membership, now_ms);
-    }
-}
+/// Other instances that are heard all the time, from one moment to another.
+type Phase = (&'static [(u64, u8)], (u64, u64));
 
-/// The successor of a lost voter is a voter before the next loss must be borne, also if it was the
-/// leader that was lost: silence counts from the last message, not from the election.
-#[test]
-fn a_lost_voter_is_replaced_without_waiting_for_long() {
-    let mut roster = roster(1, 1, true);
-    let learning = members(&[1, 2, 3], &[4]);
-    hear_all(&mut roster, &learning, &[(2, 2), (3, 3)], (100, 1000));
-    hear_all(&mut roster, &learning, &[(2, 2), (4, 4)], (1100, 4400));
-    assert_eq!(
-        next_change(&roster, &learning, 4400),
-        Some(MembershipChange::Promote(id(4)))
-    );
-}
+const ALL: &[(u64, u8)] = &[(2, 2), (3, 3), (4, 4)];
+const THIRD_LOST: &[(u64, u8)] = &[(2, 2), (4, 4)];
 
-/// A replacement that the last leader has begun is finished by the next one: four voters, one of
-/// them lost, cannot bear another loss.
-#[test]
-fn a_replacement_that_has_begun_is_finished() {
+/// The next change after an instance has run through these phases.
+fn change_after(membership: &Membership, phases: &[Phase]) -> Option<MembershipChange> {
     let mut roster = roster(1, 1, true);
-    let promoted = members(&[1, 2, 3, 4], &[]);
-    hear_all(
-        &mut roster,
-        &promoted,
-        &[(2, 2), (3, 3), (4, 4)],
-        (100, 1000),
-    );
-    hear_all(&mut roster, &promoted, &[(2, 2), (4, 4)], (1100, 4400));
-    assert_eq!(
-        next_change(&roster, &promoted, 4400),
-        Some(MembershipChange::Remove(id(3)))
-    );
+    let mut end_ms = 0;
+    for (instances, (from_ms, to_ms)) in phases {
+        for now_ms in (*from_ms..=*to_ms).step_by(100) {
+            record_all(&mut roster, instances, now_ms);
+            roster.observe(membership, now_ms);
+        }
+        end_ms = *to_ms;
+    }
+    next_change(&roster, membership, end_ms)
 }
 
-#[test]
-fn an_instance_that_was_cut_off_replaces_no_voter_that_it_did_not_hear() {
-    let mut roster = roster(1, 1, true);
-    let learning = members(&[1, 2, 3], &[4]);
-    hear_all(
-        &mut roster,
-        &learning,
-        &[(2, 2), (3, 3), (4, 4)],
-        (100, 1000),
-    );
-    hear_all(&mut roster, &learning, &[], (1100, 9000));
-    hear_all(&mut roster, &learning, &[(2, 2), (4, 4)], (9100, 9500));
-    assert_eq!(next_change(&roster, &learning, 9500), None);
+macro_rules! silences {
+    ($($(#[$doc:meta])* $name:ident: $membership:expr, $phases:expr => $expected:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                assert_eq!(change_after(&$membership, &$phases), $expected);
+            }
+        )*
+    };
 }
 
-#[test]
-fn time_in_which_an_instance_was_suspended_is_no_silence_of_the_others() {
-    let mut roster = roster(1, 1, true);
-    let learning = members(&[1, 2, 3], &[4]);
-    hear_all(
-        &mut roster,
-        &learning,
-        &[(2, 2), (3, 3), (4, 4)],
-        (100, 1000),
-    );
-    hear_all(&mut roster, &learning, &[(2, 2), (4, 4)], (9000, 9500));
-    assert_eq!(next_change(&roster, &learning, 9500), None);
-    hear_all(&mut roster, &learning, &[(2, 2), (4, 4)], (9600, 12_300));
-    assert_eq!(
-        next_change(&roster, &learning, 12_300),
-        Some(MembershipChange::Promote(id(4)))
-    );
+silences! {
+    /// The successor of a lost voter is a voter before the next loss must be borne, also if it was
+    /// the leader that was lost: silence counts from the last message, not from the election.
+    a_lost_voter_is_replaced_without_waiting_for_long:
+        members(&[1, 2, 3], &[4]), [(ALL, (100, 1000)), (THIRD_LOST, (1100, 4400))]
+        => Some(MembershipChange::Promote(id(4)));
+    /// A replacement that the last leader has begun is finished by the next one: four voters, one
+    /// of them lost, cannot bear another loss.
+    a_replacement_that_has_begun_is_finished:
+        members(&[1, 2, 3, 4], &[]), [(ALL, (100, 1000)), (THIRD_LOST, (1100, 4400))]
+        => Some(MembershipChange::Remove(id(3)));
+    an_instance_that_was_cut_off_replaces_no_voter_that_it_did_not_hear:
+        members(&[1, 2, 3], &[4]),
+        [(ALL, (100, 1000)), (&[], (1100, 9000)), (THIRD_LOST, (9100, 9500))]
+        => None;
+    time_in_which_an_instance_was_suspended_is_no_silence_of_the_others:
+        members(&[1, 2, 3], &[4]), [(ALL, (100, 1000)), (THIRD_LOST, (9000, 9500))]
+        => None;
+    silence_after_a_suspension_counts:
+        members(&[1, 2, 3], &[4]), [(ALL, (100, 1000)), (THIRD_LOST, (9000, 12_300))]
+        => Some(MembershipChange::Promote(id(4)));
 }
 
 /// A learner that is still behind does not hold up another one.
