Log which directory and which view a departure was acknowledged and acted on with

The logs could not tell whether requests that reach a leaving target come from a leader that does not list the leaving, from a gateway that learns of it late, or from one that began with an older directory. Now the leader logs each acknowledgement with the revision it waited for, how long it knew the change and how many processes lacked it; a gateway logs the term and revision with each change of a target, and once for each departed target when it last gave out a slot there and how old its view was. Metrics: guavacove.control.acknowledged_early, guavacove.gateway.view_age_ms and guavacove.gateway.stopped_attempts.

No decision is changed.

--- a/src/control/acknowledgements.rs
+++ b/src/control/acknowledgements.rs
@@ -18,11 +18,13 @@
 pub const MAX_WAIT_MS: u64 = 1400;
 
 /// What a process must have before a change is acknowledged.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Awaited {
     /// This version of the document, or a later one.
+    #[display("document {_0}")]
     Document(DocumentVersion),
     /// This revision of the directory of targets, or a later one.
+    #[display("targets {_0}")]
     Targets(u64),
 }
 
@@ -41,6 +43,19 @@
     acknowledgement: T,
 }
 
+/// An acknowledgement that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due<T> {
+    /// What was held back.
+    pub acknowledgement: T,
+    /// What the processes must have.
+    pub awaited: Awaited,
+    /// Time for which the leader has known the change.
+    pub known_for_ms: u64,
+    /// Number of known processes that lack it.
+    pub lacking: usize,
+}
+
 /// The acknowledgements that are held back.
 pub struct Acknowledgements<T>(Vec<Pending<T>>);
 
@@ -72,25 +87,29 @@
         processes: impl Iterator<Item = Progress>,
         is_complete: bool,
         now_ms: u64,
-    ) -> Vec<T> {
-        let (mut document, mut targets) = (None, None);
-        for process in processes {
-            let version = process.document_version;
-            document = Some(document.map_or(version, |least: DocumentVersion| least.min(version)));
-            if let Some(revision) = process.targets_revision {
-                targets = Some(targets.map_or(revision, |least: u64| least.min(revision)));
-            }
-        }
-        let has_all = |awaited: Awaited| match awaited {
-            Awaited::Document(version) => document.is_none_or(|least| least >= version),
-            Awaited::Targets(revision) => targets.is_none_or(|least| least >= revision),
+    ) -> Vec<Due<T>> {
+        let processes: Vec<Progress> = processes.collect();
+        let lacking = |awaited: Awaited| {
+            let lacks = |process: &&Progress| match awaited {
+                Awaited::Document(version) => process.document_version < version,
+                Awaited::Targets(revision) => {
+                    process.targets_revision.is_some_and(|has| has < revision)
+                }
+            };
+            processes.iter().filter(lacks).count()
         };
         let is_due = |pending: &mut Pending<T>| {
-            is_complete && has_all(pending.awaited)
-                || now_ms >= pending.known_since_ms + MAX_WAIT_MS
+            now_ms >= pending.known_since_ms + MAX_WAIT_MS
+                || is_complete && lacking(pending.awaited) == 0
         };
         let due = self.0.extract_if(.., is_due);
-        due.map(|pending| pending.acknowledgement).collect()
+        due.map(|pending| Due {
+            lacking: lacking(pending.awaited),
+            awaited: pending.awaited,
+            known_for_ms: now_ms.saturating_sub(pending.known_since_ms),
+            acknowledgement: pending.acknowledgement,
+        })
+        .collect()
     }
 
     /// Takes all.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -7,7 +7,7 @@
 mod leader;
 
 use super::{
-    acknowledgements::{Acknowledgements, Awaited, Progress},
+    acknowledgements::{Acknowledgements, Awaited, Due, Progress},
     command::{Command, Reply},
     departures::Departure,
     directory::{self, Directory, LimitReport, TargetAnnouncement},
@@ -147,21 +147,38 @@
 /// A reply that is held back until the processes have the change.
 enum HeldReply {
     Caller(ReplySender<Reply>, Reply),
-    Target(ReplySender<()>),
+    /// To a target that leaves.
+    Target(TargetName, ReplySender<()>),
 }
 
 impl HeldReply {
+    /// Label of the metric.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Caller(..) => "document",
+            Self::Target(..) => "departure",
+        }
+    }
+
+    /// What the change is about, for logs.
+    fn subject(&self) -> String {
+        match self {
+            Self::Caller(..) => "document".into(),
+            Self::Target(target, _) => format!("departure of {target}"),
+        }
+    }
+
     fn send(self) {
         match self {
             Self::Caller(sender, reply) => drop(sender.send(Ok(reply))),
-            Self::Target(sender) => drop(sender.send(Ok(()))),
+            Self::Target(_, sender) => drop(sender.send(Ok(()))),
         }
     }
 
     fn fail(self, error: &ControlError) {
         match self {
             Self::Caller(sender, _) => drop(sender.send(Err(error.clone()))),
-            Self::Target(sender) => drop(sender.send(Err(error.clone()))),
+            Self::Target(_, sender) => drop(sender.send(Err(error.clone()))),
         }
     }
 }
--- a/src/control/replica/in_force.rs
+++ b/src/control/replica/in_force.rs
@@ -85,11 +85,12 @@
 
     fn hold_departure(&mut self, target: TargetName, sender: ReplySender<()>) {
         let known = (self.directory.revision(), self.now_ms());
-        let (revision, known_ms) = *self.departed.entry(target).or_insert(known);
+        let departed = self.departed.entry(target.clone());
+        let (revision, known_ms) = *departed.or_insert(known);
         if self.departed.len() > MAX_KNOWN_DEPARTURES {
             self.departed.pop_first();
         }
-        let held = HeldReply::Target(sender);
+        let held = HeldReply::Target(target, sender);
         self.acknowledgements
             .hold(Awaited::Targets(revision), known_ms, held);
     }
@@ -128,8 +129,22 @@
         let due = self
             .acknowledgements
             .take_due(progress, self.members_complete, now_ms);
-        for held in due {
-            held.send();
+        let is_complete = self.members_complete;
+        for due in due {
+            let Due {
+                acknowledgement,
+                awaited,
+                known_for_ms,
+                lacking,
+            } = due;
+            if lacking > 0 || !is_complete {
+                metrics::control_acknowledged_early(acknowledgement.kind());
+            }
+            tracing::info!(
+                change = acknowledgement.subject(), %awaited, term = self.leader_term.0, known_for_ms,
+                lacking, is_complete, "control: change acknowledged"
+            );
+            acknowledgement.send();
         }
     }
 }
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -80,6 +80,8 @@
     /// The desired state of this agent's target.
     pub orders: TargetOrders,
     valid_until_ms: u64,
+    /// When a leader last confirmed this view; 0 if none has.
+    confirmed_ms: u64,
     members_seen: Option<MembersPosition>,
     targets_seen: Option<TargetsPosition>,
     suspects_seen: Option<SuspectsPosition>,
@@ -91,6 +93,11 @@
         self.policy.version > DocumentVersion(0) && clock::boot_ms() < self.valid_until_ms
     }
 
+    /// Time since a leader last confirmed this view; `None` if none has.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        (self.confirmed_ms > 0).then(|| now_ms.saturating_sub(self.confirmed_ms))
+    }
+
     /// The agents of a service whose targets are not draining.
     pub fn agents_of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Member> {
         self.agents.values().filter(move |member| {
@@ -491,7 +498,8 @@
             }
             if let Some(sent_ms) = sent_ms {
                 next.shares_expire_ms = sent_ms + LOCAL_SHARE_LEASE_MS;
-                next.valid_until_ms = sent_ms + held_ms + VIEW_LEASE_MS;
+                next.confirmed_ms = sent_ms + held_ms;
+                next.valid_until_ms = next.confirmed_ms + VIEW_LEASE_MS;
             }
             let version = next.policy.version;
             view.store(Arc::new(next));
@@ -564,7 +572,7 @@
         if changes.whole {
             remove_replaced(&mut targets);
         }
-        log_targets(&view.targets, &targets);
+        log_targets(&view.targets, &targets, &changes.seen);
         view.targets = Arc::new(targets);
         view.targets_seen = Some(changes.seen);
     }
@@ -591,12 +599,14 @@
     true
 }
 
-/// Logs added, changed and removed targets, or only their numbers if there are many, as in a
-/// first view.
+/// Logs added, changed and removed targets with the term and the revision of the directory that
+/// says so, or only their numbers if there are many, as in a first view.
 fn log_targets(
     before: &BTreeMap<TargetName, TargetEntry>,
     after: &BTreeMap<TargetName, TargetEntry>,
+    seen: &TargetsPosition,
 ) {
+    let (term, revision) = (seen.epoch.0.0, seen.revision);
     let changed: Vec<&TargetEntry> = after
         .values()
         .filter(|target| before.get(&target.name) != Some(target))
@@ -612,6 +622,8 @@
             changed = changed.len(),
             leaving,
             gone = removed.len(),
+            term,
+            revision,
             "view: targets changed"
         );
         return;
@@ -619,11 +631,11 @@
     for target in changed {
         tracing::info!(
             target = %target.name, service = %target.service, address = %target.address,
-            started_unix_ms = target.started_unix_ms, leaving = target.leaving,
+            started_unix_ms = target.started_unix_ms, leaving = target.leaving, term, revision,
             "view: target changed"
         );
     }
     for name in removed {
-        tracing::info!(target = %name, "view: target removed");
+        tracing::info!(target = %name, term, revision, "view: target removed");
     }
 }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -17,7 +17,7 @@
         directory::{LimitReport, TargetEntry},
         shares::{PPM_PER_UNIT, Shares},
     },
-    control_view::ControlView,
+    control_view::{ControlView, View},
     entry::refusal::Refusal,
     metrics,
     request_limit::RequestLimit,
@@ -107,6 +107,10 @@
 #[derive(Default)]
 struct TargetStats {
     in_progress: u64,
+    /// When the latest slot was acquired.
+    acquired_ms: u64,
+    /// Whether it has been logged that the target leaves or is gone.
+    departure_logged: bool,
     first_ms: Option<u64>,
     measured_at_ms: u64,
     backoff_until_ms: u64,
@@ -437,9 +441,30 @@
         reports.collect()
     }
 
+    /// Logs once for each target that leaves or is gone what this gateway still has there, and the
+    /// age of the view that it knows this from.
+    fn log_departures(&self, view: &View) {
+        let now_ms = clock::boot_ms();
+        for (name, stats) in &mut self.state().stats {
+            let listed = view.targets.get(name);
+            let has_departed = listed.is_none_or(|target| target.leaving);
+            if has_departed && !stats.departure_logged {
+                tracing::info!(
+                    target = %name, listed = listed.is_some(), in_progress = stats.in_progress,
+                    last_slot_ms_ago = now_ms.saturating_sub(stats.acquired_ms),
+                    view_age_ms = view.age_ms(now_ms), term = view.fencing.0,
+                    "gateway: target has departed"
+                );
+            }
+            stats.departure_logged = has_departed;
+        }
+    }
+
     /// Removes the state of targets and routes that no longer exist.
     pub fn sweep(&self) {
         let view = self.view.load();
+        self.log_departures(&view);
+        metrics::gateway_view_age(view.age_ms(clock::boot_ms()).unwrap_or(0));
         if let Some(port) = self.admission_port {
             let agents = view.targets.values();
             let agents = agents.map(|target| SocketAddr::new(target.address.ip(), port));
@@ -584,6 +609,7 @@
         }
         let stats = state.stats.entry(target.name.clone()).or_default();
         stats.in_progress += 1;
+        stats.acquired_ms = now_ms;
         let queue = state.queues.entry(query.service.clone()).or_default();
         queue.in_progress += 1;
         let waited_ms = now_ms.saturating_sub(query.waiting.arrived_ms);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -153,6 +153,18 @@
     "guavacove.gateway.unanswered",
     "Requests that were read whole and ended without a response, by why"
 );
+gauge!(
+    GATEWAY_VIEW_AGE,
+    "guavacove.gateway.view_age_ms",
+    "Time since a leader last confirmed the view of the control group, in milliseconds"
+);
+
+counter!(
+    GATEWAY_STOPPED_ATTEMPTS,
+    "guavacove.gateway.stopped_attempts",
+    "Attempts not sent as their target left meanwhile, by service"
+);
+
 counter!(
     GATEWAY_HANDOVERS,
     "guavacove.gateway.handovers",
@@ -188,6 +200,12 @@
     "guavacove.control.leaderships",
     "Times that this replica began to lead"
 );
+counter!(
+    CONTROL_ACKNOWLEDGED_EARLY,
+    "guavacove.control.acknowledged_early",
+    "Changes acknowledged although processes lacked them or may be unknown, by kind"
+);
+
 counter!(
     CONTROL_ANNOUNCEMENTS,
     "guavacove.control.announcements",
@@ -326,6 +344,16 @@
     GATEWAY_CRASHES.add(1, &[KeyValue::new("service", service.0.clone())]);
 }
 
+/// Records the age of a gateway's view of the control group.
+pub fn gateway_view_age(age_ms: u64) {
+    GATEWAY_VIEW_AGE.record(age_ms, &[]);
+}
+
+/// Counts an attempt that was not sent as its target turned out to leave.
+pub fn gateway_stopped_attempt(service: &ServiceName) {
+    GATEWAY_STOPPED_ATTEMPTS.add(1, &[KeyValue::new("service", service.0.clone())]);
+}
+
 /// Records the number of silent voters.
 pub fn control_silent_voters(voters: u64) {
     CONTROL_SILENT_VOTERS.record(voters, &[]);
@@ -346,6 +374,11 @@
     CONTROL_LEADERSHIPS.add(1, &[]);
 }
 
+/// Counts a change that was acknowledged before every process was known to have it.
+pub fn control_acknowledged_early(kind: &'static str) {
+    CONTROL_ACKNOWLEDGED_EARLY.add(1, &[KeyValue::new("kind", kind)]);
+}
+
 /// Counts an accepted announcement of a target.
 pub fn control_announcement() {
     CONTROL_ANNOUNCEMENTS.add(1, &[]);
