Redirect targets to the leader from every control instance that knows it

What targets saw: a voter that follows answered each announcement and withdrawal with 503 "leadership changed before the change was committed", also in a calm group.

Cause: check_leading compared the term of the leader's tables before it asked whether this instance leads. The tables of a follower are never of the present term. Other calls (documents, reads, limits, claims, orders, renewals) ask for the lease first and were not affected.

Now the lease is asked for first, so a follower redirects. 503 with that text is left for a change whose commit is unknown and for a leader that has no tables yet; an instance that knows no leader says so.

instances_that_do_not_lead_redirect_targets_to_the_leader failed before (503 of a follower, 307 expected) and passes.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -730,12 +730,12 @@
         }
     }
 
-    /// As `check_lease`, if this instance's leader tables are those of the current term. If not,
-    /// as on a new leader until it has initialized them and on an instance that has not led in
-    /// this term, fails with [`ControlError::Unresolved`].
+    /// As `check_lease`, and fails with [`ControlError::Unresolved`] on a leader that has not
+    /// initialized its tables in this term.
     fn check_leading(&self) -> Result<(), ControlError> {
+        self.check_lease()?;
         match self.leader_term == self.core.term() {
-            true => self.check_lease(),
+            true => Ok(()),
             false => Err(ControlError::Unresolved),
         }
     }
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -273,11 +273,14 @@
 #[error(ignore)]
 pub enum ControlError {
     /// This instance is not the leader; contains the leader's addresses if known.
-    #[display("this control instance does not lead the group")]
+    #[display("this control instance does not lead the group{}", match _0 {
+        Some(_) => "",
+        None => " and knows no leader",
+    })]
     NotLeader(Option<InstanceAddresses>),
     /// The change may or may not be committed: retry the same change. Also returned, with nothing
-    /// proposed, to renewals, announcements and withdrawals by an instance whose leader tables are
-    /// not those of the current term.
+    /// proposed, to renewals, announcements and withdrawals by a leader whose tables are not those
+    /// of the current term.
     #[display("leadership changed before the change was committed; send it again")]
     Unresolved,
     /// The document is not valid.
