Decide in one place what a departure makes of a target, and acknowledge it only then

What callers saw: requests reached targets after their leaving was acknowledged.

Cause: the log, the directory of the leader, the targets that instances cache and the views of processes each decided for themselves what a departure means, and did not agree. A leaving was acknowledged although the directory ignored it, as a later start of the target was listed (a clock that went back, another writer, a late message): a_leaving_that_is_not_in_force_is_not_acknowledged got 200 and the target stayed ready. A leader filled its directory at its first tick, perhaps before it knew what its predecessor had committed, and departures that it applied later reached no directory. A target that the new leader did not know, but gateways listed, was not removed there. Processes that began without a leader took cached targets to which no departure had been applied. A late leaving was dropped.

Now Departure::standing decides, with a table of its inputs. One run that has said that it leaves stays leaving, as it did in the log.

--- a/src/consensus/core/replication.rs
+++ b/src/consensus/core/replication.rs
@@ -205,7 +205,9 @@
         self.commit_index = self.commit_index.max(index.min(self.log.last_index()));
     }
 
-    pub(super) fn has_committed_in_term(&self) -> bool {
+    /// Whether an entry of the current term is committed. A leader then knows everything that was
+    /// committed in earlier terms.
+    pub fn has_committed_in_term(&self) -> bool {
         self.log.term_at(self.commit_index) == Some(self.hard.term)
     }
 
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -226,8 +226,8 @@
                 }
             };
             match error {
-                Some(invalid @ ControlError::Invalid(_)) => {
-                    return Err(ControlCallError::Refused(invalid));
+                Some(refusal @ (ControlError::Invalid(_) | ControlError::LaterStartListed)) => {
+                    return Err(ControlCallError::Refused(refusal));
                 }
                 Some(ControlError::NotLeader(Some(hint)))
                     if self.follow_hint(address, hint.rpc) =>
--- a/src/control/departures.rs
+++ b/src/control/departures.rs
@@ -1,5 +1,15 @@
 //! Targets that have said that they leave, or have withdrawn: part of the replicated state, so that
-//! no later leader lists them as ready.
+//! no later leader lists them as ready. Pure: no I/O and no clock.
+//!
+//! [`Departure::standing`] decides for the directory of a leader, for the targets that an instance
+//! caches, and for the view of a process:
+//!
+//! | run that is listed | the latest departure of the target says | the run |
+//! |---|---|---|
+//! | any | nothing | serves |
+//! | began later | any | serves |
+//! | the one that departed, or an earlier one | it leaves | leaves |
+//! | the one that departed, or an earlier one | it has withdrawn | is not listed |
 
 use super::directory::AnnouncementVersion;
 use crate::{derives::record, units::TargetName};
@@ -22,6 +32,28 @@
     /// The latest departures.
     #[derive(Default)]
     pub struct Departures(VecDeque<Departure>);
+
+    /// What a departure makes of a run of its target.
+    #[derive(Copy)]
+    pub enum Standing {
+        /// It gets new requests.
+        Serving,
+        /// It gets no new requests.
+        Leaving,
+        /// It is not listed any more.
+        Withdrawn,
+    }
+}
+
+impl Departure {
+    /// The standing of a run of this target.
+    pub fn standing(&self, started_unix_ms: u64) -> Standing {
+        match started_unix_ms <= self.version.started_unix_ms {
+            false => Standing::Serving,
+            true if self.has_withdrawn => Standing::Withdrawn,
+            true => Standing::Leaving,
+        }
+    }
 }
 
 impl Departures {
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -1,8 +1,9 @@
 //! The directory of targets: the leader's soft state, built from announcements.
 //!
 //! Announcements may be delayed, duplicated or reordered. The latest start of a target wins,
-//! and within one start the highest sequence number. A withdrawn target leaves a tombstone, so
-//! that announcements sent before the withdrawal do not restore it.
+//! and within one start the highest sequence number; a start that has once announced that it leaves
+//! stays leaving. A withdrawn target leaves a tombstone, so that announcements sent before the
+//! withdrawal do not restore it.
 //!
 //! Another writer may announce a target under its name with a start time or a sequence number that
 //! the target never reaches. Once that entry is no longer listed, because its lease has expired or
@@ -10,7 +11,7 @@
 //! late one restores nothing.
 
 use super::{
-    departures::Departure,
+    departures::{Departure, Standing},
     table::{Changes, Position, Table},
 };
 use crate::{derives::record, request_limit::RequestLimit, units::*};
@@ -225,7 +226,16 @@
         if known.is_some_and(|known| version <= *known)
             && !self.is_second_while_unlisted(&entry.name, version)
         {
-            return false;
+            let is_of_listed_run = |listed: &TargetEntry| {
+                listed.started_unix_ms == entry.started_unix_ms && !listed.leaving
+            };
+            let begins_to_leave =
+                entry.leaving && self.table.get(&entry.name).is_some_and(is_of_listed_run);
+            if begins_to_leave {
+                self.table
+                    .update(&entry.name, |listed| listed.leaving = true);
+            }
+            return begins_to_leave;
         }
         let at_address = self.by_address.get(&entry.address);
         let at_address = at_address.filter(|name| **name != entry.name);
@@ -249,9 +259,11 @@
         }
         if let Some(known) = self.table.get(&entry.name)
             && known.started_unix_ms == entry.started_unix_ms
-            && known.limit.supersedes(&entry.limit)
         {
-            entry.limit = known.limit;
+            entry.leaving |= known.leaving;
+            if known.limit.supersedes(&entry.limit) {
+                entry.limit = known.limit;
+            }
         }
         self.latest_versions.insert(entry.name.clone(), version);
         self.unlisted.remove(&entry.name);
@@ -288,35 +300,55 @@
         is_news
     }
 
-    /// Applies departures that were recorded under earlier leaders.
-    pub fn apply_departures<'a>(&mut self, departures: impl Iterator<Item = &'a Departure>) {
-        for departure in departures {
-            let Departure {
-                target,
-                version,
-                has_withdrawn,
-            } = departure;
-            let started_unix_ms = version.started_unix_ms;
-            let listed = self.table.get(target);
-            let is_of_run = listed.is_none_or(|listed| listed.started_unix_ms <= started_unix_ms);
-            match has_withdrawn {
-                true if is_of_run => {
-                    let known = self.latest_versions.entry(target.clone());
-                    let known = known.or_insert(*version);
-                    *known = (*known).max(*version);
-                    self.withdraw(target);
-                }
-                false if is_of_run => {
-                    let known = self.latest_versions.entry(target.clone());
-                    let known = known.or_insert(*version);
-                    *known = (*known).max(*version);
+    /// Applies a committed departure; returns whether readers must be told. Unlike an announcement,
+    /// it also concerns targets that are not listed here: readers may list them.
+    pub fn apply_departure(&mut self, departure: &Departure) -> bool {
+        let Departure {
+            target, version, ..
+        } = departure;
+        let known = self.latest_versions.get(target).copied();
+        let listed = self.table.get(target).map(|listed| {
+            let standing = departure.standing(listed.started_unix_ms);
+            (standing, listed.leaving)
+        });
+        match (listed, known) {
+            (Some((Standing::Serving, _)), _) => false,
+            (Some((Standing::Leaving, is_leaving)), _) => {
+                self.raise_version(target, *version);
+                if !is_leaving {
                     self.table.update(target, |entry| entry.leaving = true);
                 }
-                _ => {}
+                !is_leaving
+            }
+            (Some((Standing::Withdrawn, _)), _) => {
+                self.raise_version(target, *version);
+                self.withdraw(target)
+            }
+            (None, Some(known)) if known >= *version => false,
+            (None, _) if departure.has_withdrawn => {
+                self.raise_version(target, *version);
+                self.withdraw(target);
+                true
+            }
+            (None, _) => {
+                self.raise_version(target, *version);
+                self.table.record_removal(target);
+                true
             }
         }
     }
 
+    fn raise_version(&mut self, target: &TargetName, version: AnnouncementVersion) {
+        let known = self.latest_versions.entry(target.clone());
+        let known = known.or_insert(version);
+        *known = (*known).max(version);
+    }
+
+    /// Whether no run of a target is listed as ready.
+    pub fn has_departed(&self, target: &TargetName) -> bool {
+        self.table.get(target).is_none_or(|listed| listed.leaving)
+    }
+
     /// Whether a target is listed.
     pub fn lists(&self, name: &TargetName) -> bool {
         self.table.get(name).is_some()
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -333,9 +333,10 @@
         let last_index = log.last_index();
         let is_founder =
             bootstrap::is_founder(&storage, &instance_config) && last_index == LogIndex(0);
-        let cache: CachedState = storage
+        let mut cache: CachedState = storage
             .read_sidecar(CACHED_STATE_SIDECAR)
             .unwrap_or_default();
+        cache.apply_departures(control.departures().iter());
         tracing::info!(
             document = %cache.document.version, targets = cache.targets.len(),
             "control: replica {id} starts at entry {last_index}"
@@ -434,6 +435,14 @@
                         let departure = announcement.departure();
                         state.announce(announcement);
                         match departure {
+                            Some(departure) if !state.directory.has_departed(&departure.target) => {
+                                tracing::warn!(
+                                    target = %departure.target,
+                                    started_unix_ms = departure.version.started_unix_ms,
+                                    "control: departure refused, a later start is listed"
+                                );
+                                drop(sender.send(Err(ControlError::LaterStartListed)));
+                            }
                             Some(departure) => state.depart(departure, sender)?,
                             None => drop(sender.send(Ok(()))),
                         }
@@ -537,6 +546,7 @@
                 snapshot.index
             );
             self.control = ControlState::decode(&snapshot.state)?;
+            self.apply_departures_to_cache();
         }
         let version_before = self.control.document().version;
         let mut has_order = false;
@@ -545,6 +555,7 @@
             has_membership |= matches!(entry.payload, Payload::Membership(_));
             has_order |= self.apply(entry)?;
         }
+        self.begin_term();
         let changed = self.control.document().version > version_before;
         if changed {
             self.cache_document();
@@ -566,7 +577,14 @@
             Payload::Noop | Payload::Membership(_) => None,
         };
         let is_order = matches!(command, Some(Command::Order { .. }));
+        let departure = match &command {
+            Some(Command::Depart(departure)) => Some(departure.clone()),
+            _ => None,
+        };
         let reply = command.map(|command| self.control.apply(command));
+        if let Some(departure) = departure {
+            self.apply_departure(&departure);
+        }
         self.record_document();
         match (self.pending_proposals.remove(&entry.index), reply) {
             (Some((term, proposer)), Some(reply)) if term == entry.term => {
@@ -665,9 +683,12 @@
                 self.cache_changed |= self.cache.gateways != gateways;
                 self.cache.targets = targets;
                 self.cache.gateways = gateways;
+                // The message may be older than what is committed here.
+                self.apply_departures_to_cache();
             }
             PeerMessage::Heard(announcement) => {
                 self.cache_target(announcement);
+                self.apply_departures_to_cache();
             }
             PeerMessage::Core { from, to, message } if to == self.core.id() => {
                 self.step(Input::Receive { from, message })?;
--- a/src/control/replica/cache.rs
+++ b/src/control/replica/cache.rs
@@ -11,6 +11,12 @@
         is_changed
     }
 
+    /// Applies all committed departures to the cached targets.
+    pub(super) fn apply_departures_to_cache(&mut self) {
+        let departures = self.control.departures().iter();
+        self.cache_changed |= self.cache.apply_departures(departures);
+    }
+
     /// The requested part of the cached state.
     pub(super) fn read_cache(&self, wanted: PeekScope) -> PeekReply {
         let known = match wanted {
--- a/src/control/replica/in_force.rs
+++ b/src/control/replica/in_force.rs
@@ -57,6 +57,16 @@
         }
     }
 
+    /// Applies a committed departure to the cached targets and, on the leader, to the directory.
+    pub(super) fn apply_departure(&mut self, departure: &Departure) {
+        self.cache_changed |= self.cache.apply_departures(std::iter::once(departure));
+        // Whether or not the lease holds at present: the tables serve the whole term.
+        let has_tables = self.leader_term == self.core.term();
+        if has_tables && self.core.role() == RoleName::Leader {
+            self.has_updates |= self.directory.apply_departure(departure);
+        }
+    }
+
     /// Removes a target from the directory for good.
     pub(super) fn withdraw(
         &mut self,
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -10,28 +10,6 @@
     /// Runs the leader's periodic work: leases, membership, old claims.
     pub(super) fn lead(&mut self) -> Result<(), ActorProcessingErr> {
         let now_ms = self.now_ms();
-        if self.leader_term != self.core.term() {
-            self.leader_term = self.core.term();
-            self.leader_since_ms = now_ms;
-            self.members_complete = false;
-            self.directory_complete = false;
-            self.members = ProcessTable::default();
-            self.directory = Directory::from_announcements(self.cache.targets.clone(), now_ms);
-            self.directory
-                .apply_departures(self.control.departures().iter());
-            self.departed.clear();
-            self.directory_seen.clear();
-            self.demands = DemandTable::new(self.cache.gateways, now_ms);
-            // If no instance has led since this one started, no quota was charged meanwhile.
-            let idle_ms = if self.had_leader { 0 } else { now_ms };
-            self.quota_server
-                .start_term(self.quota_tolerance_per_s, idle_ms);
-            self.had_leader = true;
-            self.limits = Limits::new(now_ms);
-            self.suspects = Suspects::default();
-            metrics::control_leadership_started();
-            tracing::info!(term = self.leader_term.0, "control: became leader");
-        }
         if self.check_lease().is_err() {
             self.quota_server.stop_charging();
             self.fail_pending_renewals();
@@ -90,6 +68,37 @@
         Ok(())
     }
 
+    /// Initializes the leader's tables once it has committed an entry of its term: it has then
+    /// applied everything that its predecessors acknowledged.
+    pub(super) fn begin_term(&mut self) {
+        let leads = self.core.role() == RoleName::Leader && self.core.has_committed_in_term();
+        if !leads || self.leader_term == self.core.term() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        self.leader_term = self.core.term();
+        self.leader_since_ms = now_ms;
+        self.members_complete = false;
+        self.directory_complete = false;
+        self.members = ProcessTable::default();
+        self.directory = Directory::from_announcements(self.cache.targets.clone(), now_ms);
+        for departure in self.control.departures().iter() {
+            self.directory.apply_departure(departure);
+        }
+        self.departed.clear();
+        self.directory_seen.clear();
+        self.demands = DemandTable::new(self.cache.gateways, now_ms);
+        // If no instance has led since this one started, no quota was charged meanwhile.
+        let idle_ms = if self.had_leader { 0 } else { now_ms };
+        self.quota_server
+            .start_term(self.quota_tolerance_per_s, idle_ms);
+        self.had_leader = true;
+        self.limits = Limits::new(now_ms);
+        self.suspects = Suspects::default();
+        metrics::control_leadership_started();
+        tracing::info!(term = self.leader_term.0, "control: became leader");
+    }
+
     /// Logs which voters are silent: the group bears fewer further losses until they are back or
     /// replaced.
     fn log_silent_voters(&mut self, now_ms: u64) {
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -2,6 +2,7 @@
 
 use super::{
     command::{Claim, ClaimKey, ClaimedAttempt, Outcome},
+    departures::{Departure, Standing},
     directory::{LimitReport, TargetAnnouncement, TargetChanges, TargetEntry, TargetsPosition},
     limits::{LimitGrant, LimitWant},
     members::*,
@@ -17,6 +18,7 @@
     proc_macros::rpc,
     types::{ErrorObjectOwned, error::ErrorCode},
 };
+use std::collections::BTreeMap;
 
 record! {
     /// Registers a process or renews its lease, and polls for changes.
@@ -177,6 +179,34 @@
         self
     }
 
+    /// Applies departures that were committed; returns whether a target changed.
+    pub fn apply_departures<'a>(
+        &mut self,
+        departures: impl Iterator<Item = &'a Departure>,
+    ) -> bool {
+        let departures: BTreeMap<&TargetName, &Departure> = departures
+            .map(|departure| (&departure.target, departure))
+            .collect();
+        let mut is_changed = false;
+        self.targets.retain_mut(|TargetAnnouncement { entry, .. }| {
+            let departure = departures.get(&entry.name);
+            let standing = departure.map(|departure| departure.standing(entry.started_unix_ms));
+            match standing {
+                None | Some(Standing::Serving) => true,
+                Some(Standing::Leaving) => {
+                    is_changed |= !entry.leaving;
+                    entry.leaving = true;
+                    true
+                }
+                Some(Standing::Withdrawn) => {
+                    is_changed = true;
+                    false
+                }
+            }
+        });
+        is_changed
+    }
+
     /// Replaces a target that has restarted at its known address, while there is no leader;
     /// returns whether it did. The announcement is not acknowledged, so the target repeats it. Any
     /// other announcement is ignored: only leaders know which targets have withdrawn or are
@@ -286,11 +316,15 @@
     /// The document is not valid.
     #[display("{_0}")]
     Invalid(ValidationErrors),
+    /// A run of a target that leaves is not the one that is listed, which goes on.
+    #[display("a later start of this target is listed")]
+    LaterStartListed,
 }
 
 const NOT_LEADER_CODE: i32 = -32001;
 const UNRESOLVED_CODE: i32 = -32002;
 const INVALID_CODE: i32 = -32003;
+const LATER_START_LISTED_CODE: i32 = -32004;
 
 impl From<ControlError> for ErrorObjectOwned {
     fn from(error: ControlError) -> Self {
@@ -299,6 +333,9 @@
             ControlError::NotLeader(address) => Self::owned(NOT_LEADER_CODE, message, address),
             ControlError::Unresolved => Self::owned(UNRESOLVED_CODE, message, None::<()>),
             ControlError::Invalid(errors) => Self::owned(INVALID_CODE, message, Some(errors)),
+            ControlError::LaterStartListed => {
+                Self::owned(LATER_START_LISTED_CODE, message, None::<()>)
+            }
         }
     }
 }
@@ -315,6 +352,7 @@
             NOT_LEADER_CODE => Some(Self::NotLeader(data(error))),
             UNRESOLVED_CODE => Some(Self::Unresolved),
             INVALID_CODE => Some(Self::Invalid(data(error)?)),
+            LATER_START_LISTED_CODE => Some(Self::LaterStartListed),
             _ => None,
         }
     }
