Let a target back in after a repeated entry of another writer

What callers saw: a target got no requests for as long as it ran, if another writer had announced an entry with a higher sequence number in its name at an address that a later start holds, and that entry arrived more than once.

Cause: an unlisted target is listed with its second announcement, one above the last seen since then. A call that was repeated by its sender had the same effect before.

Now a repetition of the version that is not listed counts as nothing. The new test of the directory failed before.

--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -223,8 +223,9 @@
             sequence,
         };
         let known = self.latest_versions.get(&entry.name);
+        let is_repeated = known == Some(&version);
         if known.is_some_and(|known| version <= *known)
-            && !self.is_second_while_unlisted(&entry.name, version)
+            && (is_repeated || !self.is_second_while_unlisted(&entry.name, version))
         {
             let is_of_listed_run = |listed: &TargetEntry| {
                 listed.started_unix_ms == entry.started_unix_ms && !listed.leaving
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -251,6 +251,19 @@
     assert_eq!(directory.targets().len(), 2);
 }
 
+/// Guards against the same by such an entry that arrives more than once.
+#[test]
+fn a_target_is_listed_after_a_higher_entry_that_is_repeated() {
+    let mut directory = Directory::default();
+    directory.announce(at_port("other", 20, 1, false, 9), 0);
+    for _ in 0..3 {
+        assert!(!directory.announce(at_port("t", 10, u64::MAX, false, 9), 10));
+    }
+    assert!(!directory.announce(announcement("t", 10, 1, false), 20));
+    assert!(directory.announce(announcement("t", 10, 2, false), 30));
+    assert_eq!(directory.targets().len(), 2);
+}
+
 /// Guards against the same by an entry that a later start replaces at its address.
 #[test]
 fn a_target_is_listed_after_a_higher_entry_that_was_replaced() {
