Catch up with any control instance while the leader does not renew a view

What callers saw: requests reached targets up to 3.9 s after their leaving was acknowledged, by gateways in touch.

Cause: after its first view a process heard of changes from the leader alone, by one call at a time. It waits 1.5 s for a silent instance, then asks the next one in its list, which may be silent, too. With a leader and four instances without a disk frozen at once, gateways had the next leader's directory 6 s later. A leaving that was acknowledged by then, after the 1.4 s for which acknowledgements wait, and the configurations of that time were not in force there. The same holds for entries and agents. That the lead changes for longer, or that gateways contend for processors, is not needed.

Now a process whose view no leader has confirmed for a second asks all instances at once. Each tells the departures that it has learned of since, the version of its document and whether it leads. What is committed only grows, so it may be merged from any of them; a newer document is fetched; the renewal starts again at the leader that was found. Departures are also applied to the cached targets with which a process begins.

Limits of targets, suspects and quotas are known to the leader alone; they gain from the leader being found at once.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -1,7 +1,7 @@
 //! An RPC client of the control group that finds the leader.
 
 use super::rpc::*;
-use futures::{StreamExt, stream::FuturesUnordered};
+use futures::{Stream, StreamExt, stream::FuturesUnordered};
 use jsonrpsee::{
     core::ClientError,
     http_client::{HttpClient, HttpClientBuilder},
@@ -9,6 +9,7 @@
 use std::{
     future::Future,
     net::SocketAddr,
+    pin::pin,
     sync::{
         Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -148,6 +149,38 @@
         (instance.address, instance.client(attempt_ms))
     }
 
+    /// Calls every instance concurrently, whether or not it leads. Yields the replies, each with
+    /// the address and an RPC client of its sender, in the order of their arrival.
+    fn replies<T, F>(
+        &self,
+        attempt_ms: u64,
+        call: impl Fn(HttpClient) -> F,
+    ) -> impl Stream<Item = (SocketAddr, HttpClient, T)>
+    where
+        F: Future<Output = Result<T, ClientError>>,
+    {
+        let calls: FuturesUnordered<_> = {
+            let mut instances = self.instances.lock().expect("no holder panics");
+            let known = instances.known.iter_mut();
+            let called = known.filter_map(|instance| {
+                let (address, client) = (instance.address, instance.client(attempt_ms)?);
+                let reply = timeout(Duration::from_millis(attempt_ms), call(client.clone()));
+                Some(async move { (address, client, reply.await) })
+            });
+            called.collect()
+        };
+        calls.filter_map(move |(address, client, outcome)| async move {
+            match outcome {
+                Ok(Ok(reply)) => return Some((address, client, reply)),
+                Ok(Err(error)) => {
+                    tracing::debug!(%address, %error, "control client: call failed");
+                }
+                Err(_) => tracing::debug!(%address, attempt_ms, "control client: call timed out"),
+            }
+            None
+        })
+    }
+
     /// Calls every instance concurrently, whether or not it leads; returns the first reply that
     /// `is_useful` accepts, and an RPC client of its sender.
     pub async fn call_all<T, F>(
@@ -159,28 +192,44 @@
     where
         F: Future<Output = Result<T, ClientError>>,
     {
-        let mut calls: FuturesUnordered<_> = {
-            let mut instances = self.instances.lock().expect("no holder panics");
-            let clients = instances.known.iter_mut();
-            clients
-                .filter_map(|instance| instance.client(attempt_ms))
-                .map(|client| {
-                    let reply = timeout(Duration::from_millis(attempt_ms), call(client.clone()));
-                    async move { (client, reply.await) }
-                })
-                .collect()
-        };
-        while let Some((client, outcome)) = calls.next().await {
-            match outcome {
-                Ok(Ok(reply)) if is_useful(&reply) => return Some((client, reply)),
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) => tracing::debug!(%error, "control client: call failed"),
-                Err(_) => tracing::debug!(attempt_ms, "control client: call timed out"),
+        let mut replies = pin!(self.replies(attempt_ms, call));
+        while let Some((_, client, reply)) = replies.next().await {
+            if is_useful(&reply) {
+                return Some((client, reply));
             }
         }
         None
     }
 
+    /// Calls every instance concurrently, whether or not it leads, and passes each reply to
+    /// `receive` as it arrives, with the address and an RPC client of its sender.
+    pub async fn call_each<T, F>(
+        &self,
+        attempt_ms: u64,
+        call: impl Fn(HttpClient) -> F,
+        mut receive: impl FnMut(SocketAddr, HttpClient, T),
+    ) where
+        F: Future<Output = Result<T, ClientError>>,
+    {
+        let mut replies = pin!(self.replies(attempt_ms, call));
+        while let Some((address, client, reply)) = replies.next().await {
+            receive(address, client, reply);
+        }
+    }
+
+    /// Makes an instance that leads the current one, on a new connection; returns whether another
+    /// one was.
+    pub fn prefer(&self, leader: SocketAddr) -> bool {
+        let mut instances = self.instances.lock().expect("no holder panics");
+        let known = &mut instances.known;
+        let Some(position) = known.iter().position(|known| known.address == leader) else {
+            return false;
+        };
+        let before = self.current.swap(position, Ordering::Relaxed) % known.len();
+        known[position].client = None;
+        before != position
+    }
+
     fn drop_connection(&self, address: SocketAddr) {
         let mut instances = self.instances.lock().expect("no holder panics");
         let mut known = instances.known.iter_mut();
--- a/src/control/departures.rs
+++ b/src/control/departures.rs
@@ -87,3 +87,26 @@
         self.0.iter()
     }
 }
+
+/// The latest departures with the times at which an instance learned of them: what a process is told
+/// whose view was last confirmed some time ago.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RecentDepartures(VecDeque<(u64, Departure)>);
+
+impl RecentDepartures {
+    /// Records a departure that is committed, as this instance has just learned.
+    pub fn learn(&mut self, departure: Departure, now_ms: u64) {
+        self.0.retain(|(_, known)| known.target != departure.target);
+        self.0.push_back((now_ms, departure));
+        if self.0.len() > MAX_DEPARTURES {
+            self.0.pop_front();
+        }
+    }
+
+    /// Those that were learned within this time.
+    pub fn within(&self, age_ms: u64, now_ms: u64) -> Vec<Departure> {
+        let since_ms = now_ms.saturating_sub(age_ms);
+        let recent = self.0.iter().filter(|(at_ms, _)| *at_ms >= since_ms);
+        recent.map(|(_, departure)| departure.clone()).collect()
+    }
+}
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -9,7 +9,7 @@
 use super::{
     acknowledgements::{Acknowledgements, Awaited, Due, Progress},
     command::{Command, Reply},
-    departures::Departure,
+    departures::{Departure, RecentDepartures},
     directory::{self, Directory, LimitReport, TargetAnnouncement},
     limits::{LimitGrant, LimitWant, Limits},
     members::{MEMBER_LEASE_MS, MEMBERS_REBUILD_MS, ProcessRole, ProcessStatus, ProcessTable},
@@ -109,6 +109,8 @@
     Compiled(DocumentVersion, Option<Arc<Policy>>),
     /// Reads this replica's cached state; works without a leader.
     ReadCache(PeekScope, ReplySender<PeekReply>),
+    /// Reads what was committed within this time, in milliseconds; works without a leader.
+    CatchUp(u64, ReplySender<CatchUpReply>),
     /// Reads the document in force.
     GetDocument(ReplySender<AcceptedDocument>),
     /// Processes a target's announcement.
@@ -262,6 +264,8 @@
     /// The targets that have left in this term: the revision of the directory that says so, and
     /// when it became known here.
     departed: BTreeMap<TargetName, (u64, u64)>,
+    /// The committed departures, by when this instance learned of them.
+    recent_departures: RecentDepartures,
     /// The revision of this term's directory that each gateway has.
     directory_seen: BTreeMap<ProcessName, u64>,
     members: ProcessTable,
@@ -337,6 +341,10 @@
             .read_sidecar(CACHED_STATE_SIDECAR)
             .unwrap_or_default();
         cache.apply_departures(control.departures().iter());
+        let mut recent_departures = RecentDepartures::default();
+        for departure in control.departures().iter() {
+            recent_departures.learn(departure.clone(), 0);
+        }
         tracing::info!(
             document = %cache.document.version, targets = cache.targets.len(),
             "control: replica {id} starts at entry {last_index}"
@@ -369,6 +377,7 @@
             acknowledgements: Acknowledgements::default(),
             documents_known_ms: BTreeMap::new(),
             departed: BTreeMap::new(),
+            recent_departures,
             directory_seen: BTreeMap::new(),
             members: ProcessTable::default(),
             directory: Directory::default(),
@@ -423,6 +432,9 @@
             ReplicaMessage::ReadCache(wanted, sender) => {
                 let _ = sender.send(Ok(state.read_cache(wanted)));
             }
+            ReplicaMessage::CatchUp(age_ms, sender) => {
+                let _ = sender.send(Ok(state.catch_up(age_ms)));
+            }
             ReplicaMessage::GetDocument(sender) => {
                 let reply = state
                     .check_lease()
@@ -546,6 +558,10 @@
                 snapshot.index
             );
             self.control = ControlState::decode(&snapshot.state)?;
+            let now_ms = self.now_ms();
+            for departure in self.control.departures().iter() {
+                self.recent_departures.learn(departure.clone(), now_ms);
+            }
             self.apply_departures_to_cache();
         }
         let version_before = self.control.document().version;
--- a/src/control/replica/cache.rs
+++ b/src/control/replica/cache.rs
@@ -34,6 +34,15 @@
         }
     }
 
+    /// What was committed within `age_ms`.
+    pub(super) fn catch_up(&self, age_ms: u64) -> CatchUpReply {
+        CatchUpReply {
+            version: self.cache.document.version,
+            departures: self.recent_departures.within(age_ms, self.now_ms()),
+            leads: self.check_leading().is_ok(),
+        }
+    }
+
     /// Caches the document in force, which is committed.
     pub(super) fn cache_document(&mut self) {
         if self.control.document().version > self.cache.document.version {
--- a/src/control/replica/in_force.rs
+++ b/src/control/replica/in_force.rs
@@ -59,6 +59,8 @@
 
     /// Applies a committed departure to the cached targets and, on the leader, to the directory.
     pub(super) fn apply_departure(&mut self, departure: &Departure) {
+        let now_ms = self.now_ms();
+        self.recent_departures.learn(departure.clone(), now_ms);
         self.cache_changed |= self.cache.apply_departures(std::iter::once(departure));
         // Whether or not the lease holds at present: the tables serve the whole term.
         let has_tables = self.leader_term == self.core.term();
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -116,6 +116,18 @@
         pub control: Vec<std::net::SocketAddr>,
     }
 
+    /// What any replica, with or without a leader, tells a process whose view is old. All of it is
+    /// committed, so it only adds to what an earlier leader told.
+    #[derive(Default)]
+    pub struct CatchUpReply {
+        /// The version of the committed document; 0 if there is none.
+        pub version: DocumentVersion,
+        /// The departures that the replica has learned of since the view was confirmed.
+        pub departures: Vec<Departure>,
+        /// Whether the replica leads, so that the view can be renewed there.
+        pub leads: bool,
+    }
+
     /// The reply to a change of the document.
     pub enum ApplyReply {
         /// The document is accepted.
@@ -256,6 +268,10 @@
     #[method(name = "peek")]
     async fn peek(&self, wanted: PeekScope) -> RpcResult<PeekReply>;
 
+    /// Reads what was committed after a view was confirmed, `age_ms` ago, from any replica.
+    #[method(name = "catch_up")]
+    async fn catch_up(&self, age_ms: u64) -> RpcResult<CatchUpReply>;
+
     /// Reads the document in force.
     #[method(name = "get")]
     async fn get(&self) -> RpcResult<AcceptedDocument>;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -279,6 +279,11 @@
             .await
     }
 
+    async fn catch_up(&self, age_ms: u64) -> RpcResult<CatchUpReply> {
+        self.call(|sender| ReplicaMessage::CatchUp(age_ms, sender))
+            .await
+    }
+
     async fn get(&self) -> RpcResult<AcceptedDocument> {
         self.call(ReplicaMessage::GetDocument).await
     }
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -5,15 +5,20 @@
 //! renewed for [`VIEW_LEASE_MS`] is expired: the process then refuses new requests, as a newer
 //! document may be in force.
 
+pub mod catch_up;
+
+use self::catch_up::CatchUpTask;
 use crate::{
     clock,
     control::{
         ControlClient,
+        departures::{Departure, Standing},
         directory::{LimitReport, TargetChanges, TargetEntry, TargetsPosition, remove_replaced},
         members::*,
         orders::TargetOrders,
         rpc::*,
         shares::{Demand, LOCAL_SHARE_LEASE_MS, Shares},
+        state::AcceptedDocument,
         suspects::{Suspect, SuspectKey, SuspectReports, SuspectsPosition},
         table::Position,
     },
@@ -33,7 +38,7 @@
     },
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Duration of a view's lease. It starts at the earliest time at which the leader can have
 /// replied: when the request was sent, plus the time that the leader held it.
@@ -85,6 +90,8 @@
     members_seen: Option<MembersPosition>,
     targets_seen: Option<TargetsPosition>,
     suspects_seen: Option<SuspectsPosition>,
+    /// Departures that other instances than a leader told since one last confirmed the view.
+    departures: BTreeMap<TargetName, Departure>,
 }
 
 impl View {
@@ -140,6 +147,7 @@
             registration,
             limits,
             suspects,
+            leader_found: Arc::default(),
         };
         threads::spawn_control("control-view", async move {
             match Actor::spawn(None, ViewActor, arguments).await {
@@ -266,6 +274,7 @@
     registration: watch::Receiver<Member>,
     limits: watch::Receiver<Vec<LimitReport>>,
     suspects: watch::Receiver<SuspectReports>,
+    leader_found: Arc<Notify>,
 }
 
 impl RenewalTask {
@@ -279,6 +288,12 @@
             };
             tokio::spawn(peek_task.run(actor.clone()));
         }
+        let catch_up_task = CatchUpTask {
+            client: Arc::clone(&self.client),
+            view: Arc::clone(&self.view),
+            leader_found: Arc::clone(&self.leader_found),
+        };
+        tokio::spawn(catch_up_task.run(actor.clone()));
         loop {
             let member = self.registration.borrow_and_update().clone();
             let demand = self.demand.lock().expect("no holder panics").clone();
@@ -300,6 +315,10 @@
                 });
             let reply = tokio::select! {
                 reply = renewal => reply,
+                () = self.leader_found.notified() => {
+                    wait_ms = 0;
+                    continue;
+                }
                 // A call that the leader does not hold is not cut short: it brings what is new, and
                 // changes here may come faster than replies.
                 changed = self.registration.changed(), if wait_ms > 0 => match changed {
@@ -328,8 +347,8 @@
                     }
                     is_disconnected = false;
                     self.client.set_discovered(&reply.control);
-                    let _ = ractor::call!(actor, |done| ViewUpdate {
-                        reply,
+                    let _ = ractor::call!(actor, |done| ViewUpdate::Reply {
+                        reply: Box::new(reply),
                         sent_ms: Some(sent_ms.load(Ordering::Relaxed)),
                         done
                     });
@@ -440,8 +459,8 @@
             }),
             ..SyncReply::default()
         };
-        let merged = ractor::call!(actor, |done| ViewUpdate {
-            reply,
+        let merged = ractor::call!(actor, |done| ViewUpdate::Reply {
+            reply: Box::new(reply),
             sent_ms: None,
             done
         });
@@ -454,12 +473,21 @@
     }
 }
 
-/// A reply to merge into the view.
-struct ViewUpdate {
-    reply: SyncReply,
-    /// When it was requested; `None` if it does not renew the lease.
-    sent_ms: Option<u64>,
-    done: ractor::RpcReplyPort<()>,
+/// What is merged into the view.
+enum ViewUpdate {
+    /// A reply of a leader, or the state that an instance has cached.
+    Reply {
+        reply: Box<SyncReply>,
+        /// When it was requested; `None` if it does not renew the lease.
+        sent_ms: Option<u64>,
+        done: ractor::RpcReplyPort<()>,
+    },
+    /// What any instance knows to be committed.
+    Committed {
+        departures: Vec<Departure>,
+        document: Option<AcceptedDocument>,
+        done: ractor::RpcReplyPort<()>,
+    },
 }
 
 /// The actor that merges replies into the view.
@@ -483,24 +511,23 @@
     async fn handle(
         &self,
         _myself: ActorRef<Self::Msg>,
-        ViewUpdate {
-            reply,
-            sent_ms,
-            done,
-        }: Self::Msg,
+        update: Self::Msg,
         (view, versions): &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         let mut next = View::clone(&view.load());
-        let held_ms = reply.held_ms.min(MAX_RENEWAL_HOLD_MS);
-        if reply.fencing >= next.fencing && merge(&mut next, reply) {
-            if sent_ms.is_none() {
-                next.shares_expire_ms = clock::boot_ms() + LOCAL_SHARE_LEASE_MS;
-            }
-            if let Some(sent_ms) = sent_ms {
-                next.shares_expire_ms = sent_ms + LOCAL_SHARE_LEASE_MS;
-                next.confirmed_ms = sent_ms + held_ms;
-                next.valid_until_ms = next.confirmed_ms + VIEW_LEASE_MS;
-            }
+        let (is_merged, done) = match update {
+            ViewUpdate::Reply {
+                reply,
+                sent_ms,
+                done,
+            } => (merge_reply(&mut next, *reply, sent_ms), done),
+            ViewUpdate::Committed {
+                departures,
+                document,
+                done,
+            } => (merge_committed(&mut next, departures, document), done),
+        };
+        if is_merged {
             let version = next.policy.version;
             view.store(Arc::new(next));
             versions.send_if_modified(|current| std::mem::replace(current, version) != version);
@@ -510,25 +537,97 @@
     }
 }
 
+/// Merges a reply of a leader, or of another instance if it has no `sent_ms`; returns false if it is
+/// outdated or its document failed to compile.
+fn merge_reply(view: &mut View, reply: SyncReply, sent_ms: Option<u64>) -> bool {
+    let held_ms = reply.held_ms.min(MAX_RENEWAL_HOLD_MS);
+    if reply.fencing < view.fencing || !merge(view, reply) {
+        return false;
+    }
+    match sent_ms {
+        None => {
+            view.shares_expire_ms = clock::boot_ms() + LOCAL_SHARE_LEASE_MS;
+            // The instance may have cached the targets before they departed.
+            let departures = std::mem::take(&mut view.departures);
+            apply_departures(view, departures.into_values());
+        }
+        Some(sent_ms) => {
+            view.shares_expire_ms = sent_ms + LOCAL_SHARE_LEASE_MS;
+            view.confirmed_ms = sent_ms + held_ms;
+            view.valid_until_ms = view.confirmed_ms + VIEW_LEASE_MS;
+            view.departures.clear();
+        }
+    }
+    true
+}
+
+/// Merges what is committed; returns whether the view has changed.
+fn merge_committed(
+    view: &mut View,
+    departures: Vec<Departure>,
+    document: Option<AcceptedDocument>,
+) -> bool {
+    let version = view.policy.version;
+    let is_compiled = document.is_none_or(|document| merge_document(view, document));
+    let has_departures = !departures.is_empty();
+    apply_departures(view, departures.into_iter());
+    has_departures || is_compiled && view.policy.version > version
+}
+
+/// Applies departures to the targets, and keeps them until a leader confirms the view.
+fn apply_departures(view: &mut View, departures: impl Iterator<Item = Departure>) {
+    let (seen, before) = (view.targets_seen.clone(), Arc::clone(&view.targets));
+    for departure in departures {
+        let listed = view.targets.get(&departure.target);
+        let standing = listed.map(|listed| {
+            let standing = departure.standing(listed.started_unix_ms);
+            (standing, listed.leaving)
+        });
+        match standing {
+            None | Some((Standing::Serving, _) | (Standing::Leaving, true)) => {}
+            Some((Standing::Leaving, false)) => {
+                let targets = Arc::make_mut(&mut view.targets);
+                if let Some(target) = targets.get_mut(&departure.target) {
+                    target.leaving = true;
+                }
+            }
+            Some((Standing::Withdrawn, _)) => {
+                Arc::make_mut(&mut view.targets).remove(&departure.target);
+            }
+        }
+        view.departures.insert(departure.target.clone(), departure);
+    }
+    log_targets(&before, &view.targets, &seen.unwrap_or_default());
+}
+
+/// Merges a document; returns false if it failed to compile.
+fn merge_document(view: &mut View, document: AcceptedDocument) -> bool {
+    if document.version <= view.policy.version {
+        return true;
+    }
+    match Policy::compile(document.version, &document.yaml) {
+        Ok(policy) => {
+            tracing::info!("view: document {} is in force", policy.version);
+            view.policy = Arc::new(policy);
+            true
+        }
+        Err(errors) => {
+            tracing::error!(
+                "view: failed to compile document {}: {errors}",
+                document.version
+            );
+            false
+        }
+    }
+}
+
 /// Merges a reply; returns false if its document failed to compile.
 fn merge(view: &mut View, reply: SyncReply) -> bool {
-    if let Some(document) = reply
+    if reply
         .document
-        .filter(|new| new.version > view.policy.version)
+        .is_some_and(|document| !merge_document(view, document))
     {
-        match Policy::compile(document.version, &document.yaml) {
-            Ok(policy) => {
-                tracing::info!("view: document {} is in force", policy.version);
-                view.policy = Arc::new(policy);
-            }
-            Err(errors) => {
-                tracing::error!(
-                    "view: failed to compile document {}: {errors}",
-                    document.version
-                );
-                return false;
-            }
-        }
+        return false;
     }
     if let Some(changes) = reply.members {
         let is_complete = changes.seen.epoch.1;
