Look again right before a request is sent whether its target has departed

What callers could see: a request whose target was chosen waits for a connection, for 400 ms at most, or for a second one if the target closed the one that was kept. If the target's leaving becomes known meanwhile, the request still went there.

Now the choice is checked right before the first byte is sent, in the one place in which all attempts of the gateway send: first attempts, retries, streams that resume and replacements of silent targets. The request is then not run, and goes to another target. An entry sends requests through the agent of the target, which refuses them by the target's own word (Dispatcher::accepting_target).

No report is known to come from this. Both tests of the connections need the check; without it there is nothing that could have stopped the request.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -409,7 +409,8 @@
         };
         let sent_ms = clock::boot_ms();
         let target = slot.target.clone();
-        let mut call = pin!(self.connections.call(&target, request).fuse());
+        let has_departed = slot.departure_check();
+        let mut call = pin!(self.connections.call(&target, request, has_departed).fuse());
         let silence_timeout = Duration::from_millis(silence_timeout_ms);
         let called = match timeout(silence_timeout, call.as_mut()).await {
             Ok(called) => called,
@@ -483,7 +484,10 @@
             }) => {
                 progress.delivered -= 1;
                 progress.possible_runs -= 1;
-                slot.record_unreachable(&incoming.id, &error);
+                match reason {
+                    Reason::Leaving => slot.record_departed(&incoming.id),
+                    _ => slot.record_unreachable(&incoming.id, &error),
+                }
                 return AttemptOutcome::NotRun(reason, error);
             }
             Err(CallError { reason, error, .. }) => {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -90,7 +90,8 @@
 }
 
 impl ConnectionPool {
-    /// Sends a request and waits for the head of its response.
+    /// Sends a request and waits for the head of its response. Nothing is sent if `has_departed`
+    /// tells right before that the target gets no new requests.
     ///
     /// # Errors
     /// Returns an error with the verdict "not run" if nothing was sent, "may have run" otherwise.
@@ -98,9 +99,11 @@
         &self,
         target: &TargetEntry,
         request: Request<Full<Bytes>>,
+        has_departed: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
         let connection = self.connect(target).await?;
-        self.call_on(target, connection, request).await
+        self.call_on(target, connection, request, has_departed)
+            .await
     }
 
     /// Returns a connection on which nothing is in progress.
@@ -143,8 +146,16 @@
         target: &TargetEntry,
         mut connection: Connection,
         mut request: Request<Full<Bytes>>,
+        has_departed: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
         loop {
+            if has_departed() {
+                return Err(CallError {
+                    verdict: Verdict::NotRun,
+                    reason: Reason::Leaving,
+                    error: "the target left before the request was sent".into(),
+                });
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.idle_timeout_ms = idle_timeout_ms(response.headers());
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -293,7 +293,7 @@
         handover.record_sent(sent_ms);
         let mut call = pin!(
             self.connections
-                .call_on(&target, connection, request)
+                .call_on(&target, connection, request, slot.departure_check())
                 .fuse()
         );
         let silent_at_ms = sent_ms + silence_timeout_ms;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,7 @@
 mod admission_links;
 mod attempts;
 mod body;
-mod connections;
+pub mod connections;
 mod crashes;
 pub mod dialect;
 pub mod events;
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -321,12 +321,23 @@
 
     /// Returns whether a target found by a search still accepts new work.
     fn accepts_work(&self, state: &State, target: &TargetEntry, now_ms: u64) -> bool {
+        state.availability.get(target, now_ms) == Availability::Available && self.lists(target)
+    }
+
+    /// Returns whether this run of a target is listed and does not leave.
+    fn lists(&self, target: &TargetEntry) -> bool {
         let view = self.view.load();
         let current = view.targets.get(&target.name);
-        state.availability.get(target, now_ms) == Availability::Available
-            && current.is_some_and(|current| {
-                !current.leaving && current.started_unix_ms == target.started_unix_ms
-            })
+        current.is_some_and(|current| {
+            !current.leaving && current.started_unix_ms == target.started_unix_ms
+        })
+    }
+
+    /// Returns whether this run of a target leaves or is gone, by the directory or its own word.
+    fn has_departed(&self, target: &TargetEntry) -> bool {
+        let now_ms = clock::boot_ms();
+        !self.lists(target)
+            || self.state().availability.get(target, now_ms) == Availability::Draining
     }
 
     /// Acquires a slot within this gateway's share of the slots.
--- a/src/gateway/targets/feedback.rs
+++ b/src/gateway/targets/feedback.rs
@@ -227,6 +227,23 @@
         self.targets.accepts_work(&state, &self.target, now_ms)
     }
 
+    /// Returns a check whether the target has departed since the slot was acquired.
+    pub fn departure_check(&self) -> impl Fn() -> bool + use<> {
+        let (targets, target) = (Arc::clone(&self.targets), self.target.clone());
+        move || targets.has_departed(&target)
+    }
+
+    /// Records that a request was not sent as the target has departed.
+    pub fn record_departed(&self, request: &str) {
+        metrics::gateway_stopped_attempt(&self.service);
+        let now_ms = clock::boot_ms();
+        tracing::info!(
+            request, target = %self.target.name, slot_age_ms = now_ms.saturating_sub(self.began_ms),
+            view_age_ms = self.targets.view.load().age_ms(now_ms),
+            "gateway: not sent, target has departed"
+        );
+    }
+
     /// Returns what is known of this run of the target after it closed a connection. `asked` is
     /// the result of asking for a new one.
     pub fn target_after(&self, asked: TargetAfter) -> TargetAfter {
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,94 @@
+//! Connections to targets: what is sent to a target that departs.
+
+use bytes::Bytes;
+use guavacove::{
+    control::directory::TargetEntry,
+    gateway::connections::{CallError, ConnectionPool},
+    request_limit::RequestLimit,
+    verdict::{Reason, Verdict},
+};
+use http_body_util::Full;
+use hyper::Request;
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+fn target(address: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        name: "t".into(),
+        started_unix_ms: 5,
+        service: "plain".into(),
+        address,
+        failure_domain: "a".into(),
+        slots: 1,
+        leaving: false,
+        warming_up: false,
+        limit: RequestLimit::default(),
+    }
+}
+
+fn request() -> Request<Full<Bytes>> {
+    let request = Request::builder().uri("/x").header("host", "h");
+    request.body(Full::default()).unwrap()
+}
+
+fn assert_not_sent(error: &CallError) {
+    let found = (error.verdict, &error.reason);
+    assert_eq!(found, (Verdict::NotRun, &Reason::Leaving), "{error}");
+}
+
+/// Guards against a request that is sent to a target that departed while the connection to it was
+/// being opened.
+#[tokio::test]
+async fn nothing_is_sent_to_a_target_that_departed_before_the_connection_stood() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = target(listener.local_addr().unwrap());
+    let pool = ConnectionPool::default();
+    let error = pool.call(&target, request(), || true).await.err();
+    assert_not_sent(&error.unwrap());
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).await.unwrap();
+    assert_eq!(received, b"");
+}
+
+/// Guards against a request that is sent on a second connection, as the target closed the kept one,
+/// after the target has departed.
+#[tokio::test]
+async fn nothing_is_sent_again_to_a_target_that_departed_meanwhile() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = target(listener.local_addr().unwrap());
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 1024];
+        let _ = stream.read(&mut head).await.unwrap();
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(answer).await.unwrap();
+        (listener, stream)
+    });
+    let pool = ConnectionPool::default();
+    let (response, connection) = pool.call(&target, request(), || false).await.unwrap();
+    drop(response);
+    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    pool.release(&target, connection);
+    let (listener, mut stream) = serving.await.unwrap();
+    let connection = pool.connect(&target).await.unwrap();
+    assert!(connection.is_reused(), "the kept one");
+    stream.shutdown().await.unwrap();
+    drop(stream);
+    let checks = AtomicUsize::new(0);
+    let has_departed = || checks.fetch_add(1, Ordering::Relaxed) > 0;
+    let call = pool.call_on(&target, connection, request(), has_departed);
+    let error = call.await.err().expect("the target closed its connection");
+    match checks.load(Ordering::Relaxed) {
+        // Found out after the request was sent.
+        1 => assert_eq!(error.verdict, Verdict::MayHaveRun),
+        _ => assert_not_sent(&error),
+    }
+    drop(listener);
+}
