Draw election timeouts that differ again after a split vote

What callers could see: no leader for seconds after one was lost, so that no change is accepted, quotas are charged to local shares, and gateways get no directory.

Cause: the jitter of an election timeout was a product of a constant with the sum of the replica's seed and the time, so it was linear in the time. Two replicas that had timed out together scheduled the next timeout at the same moment, again at an equal distance, and split their votes again and again.

Now the jitter is a hash.

--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -1,6 +1,7 @@
 //! Leader election: pre-votes, votes and leadership transfer.
 
 use super::*;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 impl<R: Rules> Core<R> {
     /// Returns whether a vote now could elect a leader during a lease that this
@@ -24,16 +25,12 @@
         self.schedule_election(now_ms);
     }
 
-    /// Sets the election timeout. Its jitter is a Fibonacci hash (a product with 2^64 divided
-    /// by the golden ratio, whose upper bits are used), as equal states must give equal effects.
+    /// Sets the election timeout. Its jitter is a hash, as equal states must give equal effects. The
+    /// hash must not be linear: two replicas that time out together would do so again and again.
     pub(super) fn schedule_election(&mut self, now_ms: u64) {
-        let seed =
-            self.id.disk ^ self.hard.term.0.rotate_left(32) ^ (u64::from(self.id.number) << 56);
-        let hash = seed
-            .wrapping_add(now_ms)
-            .wrapping_mul(0x9E37_79B9_7F4A_7C15)
-            >> 33;
-        let delay_ms = self.timing.election_ms + hash % (self.timing.spread_ms + 1);
+        let mut hasher = DefaultHasher::new();
+        (self.id, self.hard.term, now_ms).hash(&mut hasher);
+        let delay_ms = self.timing.election_ms + hasher.finish() % (self.timing.spread_ms + 1);
         self.election_due_ms = now_ms + delay_ms;
     }
 
