Bound the load reports that agents read from engines

Reported by other operators: a faulty engine sends bytes that are no answer, without end, in a head or a body, and the machine that had called it runs out of memory.

It could happen here: an agent asks its engine for load reports if an entry routes by load, and collected their bodies without a limit on size or time.

Now a report is at most 64 KiB long and has 500 ms as a whole; failures are logged.

--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -11,7 +11,7 @@
     wire::DispatchedRequest,
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use std::{io, net::SocketAddr, time::Duration};
@@ -29,8 +29,10 @@
 const ENGINE_SILENCE_MS: u64 = 2000;
 /// Timeout for an engine to start sending the rest of a response.
 const RESUME_TIMEOUT_MS: u64 = 2000;
-/// Timeout for the load report of an engine.
+/// Timeout for the whole load report of an engine.
 const LOAD_TIMEOUT_MS: u64 = 500;
+/// Maximum size of a load report.
+const MAX_LOAD_BYTES: usize = 64 * 1024;
 /// Timeout for a target to accept an order.
 const ORDER_TIMEOUT_MS: u64 = 2000;
 /// Number of failures after which a response is reported as failed. While the engine is silent,
@@ -431,10 +433,22 @@
 /// Fetches the load report of an engine; `None` if it provides none.
 pub async fn fetch_load(address: SocketAddr) -> Option<LoadReport> {
     let load_request = Request::get("/load").header("host", "engine");
-    let sending = send(address, load_request.body(Full::default()).ok()?);
-    let response = timeout(Duration::from_millis(LOAD_TIMEOUT_MS), sending).await;
-    let body = response.ok()?.ok()?.into_body().collect().await.ok()?;
-    serde_json::from_slice(&body.to_bytes()).ok()
+    let load_request = load_request.body(Full::default()).ok()?;
+    let fetching = async {
+        let response = send(address, load_request).await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_LOAD_BYTES);
+        let collected = body.collect().await;
+        if let Err(error) = &collected {
+            tracing::warn!(%address, %error, "agent: load report not read");
+        }
+        serde_json::from_slice(&collected.ok()?.to_bytes()).ok()
+    };
+    let limit = Duration::from_millis(LOAD_TIMEOUT_MS);
+    let fetched = timeout(limit, fetching).await;
+    if fetched.is_err() {
+        tracing::warn!(%address, waited_ms = LOAD_TIMEOUT_MS, "agent: load report timed out");
+    }
+    fetched.ok()?
 }
 
 /// Cancels a request at the engine, as its response is no longer needed.
