Do not cut a renewal short that waits for the leader that was found

A leader that sends a long document to hundreds of processes may take more than a second for some; restarting these renewals puts them behind the others. A silent connection is replaced after 1.5 s as before. A newer document is fetched without the targets that an instance has cached.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -217,17 +217,14 @@
         }
     }
 
-    /// Makes an instance that leads the current one, on a new connection; returns whether another
-    /// one was.
+    /// Makes a known instance that leads the current one; returns whether another one was.
     pub fn prefer(&self, leader: SocketAddr) -> bool {
-        let mut instances = self.instances.lock().expect("no holder panics");
-        let known = &mut instances.known;
+        let instances = self.instances.lock().expect("no holder panics");
+        let known = &instances.known;
         let Some(position) = known.iter().position(|known| known.address == leader) else {
             return false;
         };
-        let before = self.current.swap(position, Ordering::Relaxed) % known.len();
-        known[position].client = None;
-        before != position
+        self.current.swap(position, Ordering::Relaxed) % known.len() != position
     }
 
     fn drop_connection(&self, address: SocketAddr) {
--- a/src/control/replica/cache.rs
+++ b/src/control/replica/cache.rs
@@ -21,6 +21,11 @@
     pub(super) fn read_cache(&self, wanted: PeekScope) -> PeekReply {
         let known = match wanted {
             PeekScope::Version => CachedState::default(),
+            PeekScope::Document => CachedState {
+                document: self.cache.document.clone(),
+                ..CachedState::default()
+            }
+            .without_source(),
             PeekScope::Targets => CachedState {
                 document: AcceptedDocument::default(),
                 ..self.cache.clone()
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -99,6 +99,8 @@
     pub enum PeekScope {
         /// Only the document's version: a short reply, so that all instances may be queried.
         Version,
+        /// The document.
+        Document,
         /// The targets.
         Targets,
         /// The whole cached state.
--- a/src/control_view/catch_up.rs
+++ b/src/control_view/catch_up.rs
@@ -80,7 +80,7 @@
                             "view: not confirmed, asking all control instances"
                         );
                     }
-                    self.ask_all(age_ms, version, !has_asked, &actor).await;
+                    self.ask_all(age_ms, version, &actor).await;
                     interval_ms = match has_asked {
                         true => (interval_ms * 3 / 2).min(MAX_INTERVAL_MS),
                         false => interval_ms,
@@ -92,13 +92,7 @@
     }
 
     /// Asks all instances and merges each reply as it arrives.
-    async fn ask_all(
-        &self,
-        age_ms: u64,
-        version: DocumentVersion,
-        is_first: bool,
-        actor: &ActorRef<ViewUpdate>,
-    ) {
+    async fn ask_all(&self, age_ms: u64, version: DocumentVersion, actor: &ActorRef<ViewUpdate>) {
         let (sender, mut replies) = mpsc::unbounded_channel();
         let call = |client: HttpClient| async move { client.catch_up(age_ms).await };
         let asking = self.client.call_each(
@@ -106,7 +100,8 @@
             call,
             // Owns the sender: the channel closes after the last reply.
             move |address: SocketAddr, client: HttpClient, reply: CatchUpReply| {
-                if reply.leads && (self.client.prefer(address) || is_first) {
+                // A renewal that waits for this very instance is not cut short: it may be on its way.
+                if reply.leads && self.client.prefer(address) {
                     tracing::info!(%address, "view: a leader is found");
                     self.leader_found.notify_one();
                 }
@@ -130,7 +125,7 @@
         let Some((version, client)) = newest else {
             return;
         };
-        if let Some(cached) = PeekTask::fetch(&client, PeekScope::All).await {
+        if let Some(cached) = PeekTask::fetch(&client, PeekScope::Document).await {
             tracing::info!(%version, "view: fetched a newer document");
             merge(Vec::new(), Some(cached.document), actor).await;
         }
