List no target that withdrew before it was known

What callers saw: for 6 s requests reached a target whose withdrawal had been acknowledged.

Cause: a withdrawal names a target, not a run. If the leader knew no run of it, it left neither a tombstone nor an entry in the log, but was acknowledged. A heartbeat that the target had sent before and that was seconds late, as an instance on its way was frozen, then listed it as ready.

Now such a withdrawal is logged as that of an unknown run. For 10 s from when an instance learns of it, announcements in that name are acknowledged as before, but list nothing; a new leader, the cached targets and processes that catch up do the same. A run that starts under the name of a target that withdrew unknown is listed after that time.

--- a/src/control/departures.rs
+++ b/src/control/departures.rs
@@ -10,6 +10,7 @@
 //! | began later | any | serves |
 //! | the one that departed, or an earlier one | it leaves | leaves |
 //! | the one that departed, or an earlier one | it has withdrawn | is not listed |
+//! | any, within [`LATE_MS`] | a run that the leader did not know has withdrawn | is not listed |
 
 use super::directory::AnnouncementVersion;
 use crate::{derives::record, units::TargetName};
@@ -18,6 +19,15 @@
 /// Maximum number of departures; the oldest are forgotten, long after their targets have ended.
 const MAX_DEPARTURES: usize = 1024;
 
+/// Time for which announcements of a target that withdrew before it was known count as late ones.
+pub const LATE_MS: u64 = 10_000;
+
+/// Stands for a run that is not known; no announcement has such a version.
+const UNKNOWN_RUN: AnnouncementVersion = AnnouncementVersion {
+    started_unix_ms: 0,
+    sequence: u64::MAX - 1,
+};
+
 record! {
     /// A run of a target that gets no new requests.
     pub struct Departure {
@@ -46,9 +56,25 @@
 }
 
 impl Departure {
+    /// The withdrawal of a target of which no run is known. It holds for [`LATE_MS`] from when an
+    /// instance learns of it: a later run cannot be told from the one that withdrew.
+    pub fn of_unknown_run(target: TargetName) -> Self {
+        Self {
+            target,
+            version: UNKNOWN_RUN,
+            has_withdrawn: true,
+        }
+    }
+
+    /// Whether it is that of a target of which no run was known.
+    pub fn is_of_unknown_run(&self) -> bool {
+        self.version == UNKNOWN_RUN
+    }
+
     /// The standing of a run of this target.
     pub fn standing(&self, started_unix_ms: u64) -> Standing {
         match started_unix_ms <= self.version.started_unix_ms {
+            false if self.is_of_unknown_run() => Standing::Withdrawn,
             false => Standing::Serving,
             true if self.has_withdrawn => Standing::Withdrawn,
             true => Standing::Leaving,
@@ -57,9 +83,10 @@
 }
 
 impl Departures {
-    /// Records a departure, in the place of an earlier one of the same target.
+    /// Records a departure, in the place of an earlier one of the same target. One of an unknown run
+    /// is not kept, as it would bind later runs.
     pub fn record(&mut self, departure: Departure) {
-        if self.covers(&departure) {
+        if departure.is_of_unknown_run() || self.covers(&departure) {
             return;
         }
         self.0.retain(|known| known.target != departure.target);
@@ -71,6 +98,9 @@
 
     /// Whether the departure of that run is recorded.
     pub fn covers(&self, departure: &Departure) -> bool {
+        if departure.is_of_unknown_run() {
+            return false;
+        }
         let known = self.0.iter().find(|known| known.target == departure.target);
         known.is_some_and(|known| {
             let (known_start, start) = (
@@ -103,10 +133,23 @@
         }
     }
 
+    /// The targets of unknown runs that have withdrawn, each with the time until which its
+    /// announcements count as late.
+    pub fn late_until(&self, now_ms: u64) -> impl Iterator<Item = (&TargetName, u64)> {
+        let unknown = self
+            .0
+            .iter()
+            .filter(|(_, departure)| departure.is_of_unknown_run());
+        let late = unknown.map(|(at_ms, departure)| (&departure.target, at_ms + LATE_MS));
+        late.filter(move |(_, until_ms)| now_ms < *until_ms)
+    }
+
     /// Those that were learned within this time.
     pub fn within(&self, age_ms: u64, now_ms: u64) -> Vec<Departure> {
         let since_ms = now_ms.saturating_sub(age_ms);
-        let recent = self.0.iter().filter(|(at_ms, _)| *at_ms >= since_ms);
+        let recent = self.0.iter().filter(|(at_ms, departure)| {
+            *at_ms >= since_ms && (!departure.is_of_unknown_run() || now_ms < at_ms + LATE_MS)
+        });
         recent.map(|(_, departure)| departure.clone()).collect()
     }
 }
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -183,6 +183,9 @@
     /// Targets that are not listed although they have not withdrawn, with the highest version
     /// announced since then.
     unlisted: BTreeMap<TargetName, Option<AnnouncementVersion>>,
+    /// Targets that have withdrawn before they were known, and until when their announcements count
+    /// as late ones.
+    late_until: BTreeMap<TargetName, u64>,
     tombstones: VecDeque<TargetName>,
 }
 
@@ -222,6 +225,10 @@
             started_unix_ms: entry.started_unix_ms,
             sequence,
         };
+        self.late_until.retain(|_, until_ms| now_ms < *until_ms);
+        if self.late_until.contains_key(&entry.name) {
+            return false;
+        }
         let known = self.latest_versions.get(&entry.name);
         let is_repeated = known == Some(&version);
         if known.is_some_and(|known| version <= *known)
@@ -339,6 +346,15 @@
         }
     }
 
+    /// Removes a target that has withdrawn before it was known, and lists it no sooner than at
+    /// `until_ms`.
+    pub fn withdraw_unknown(&mut self, target: &TargetName, until_ms: u64) {
+        if !self.remove_entry(target) {
+            self.table.record_removal(target);
+        }
+        self.late_until.insert(target.clone(), until_ms);
+    }
+
     fn raise_version(&mut self, target: &TargetName, version: AnnouncementVersion) {
         let known = self.latest_versions.entry(target.clone());
         let known = known.or_insert(version);
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -9,7 +9,7 @@
 use super::{
     acknowledgements::{Acknowledgements, Awaited, Due, Progress},
     command::{Command, Reply},
-    departures::{Departure, RecentDepartures},
+    departures::{Departure, LATE_MS, RecentDepartures},
     directory::{self, Directory, LimitReport, TargetAnnouncement},
     limits::{LimitGrant, LimitWant, Limits},
     members::{MEMBER_LEASE_MS, MEMBERS_REBUILD_MS, ProcessRole, ProcessStatus, ProcessTable},
--- a/src/control/replica/in_force.rs
+++ b/src/control/replica/in_force.rs
@@ -64,8 +64,14 @@
         self.cache_changed |= self.cache.apply_departures(std::iter::once(departure));
         // Whether or not the lease holds at present: the tables serve the whole term.
         let has_tables = self.leader_term == self.core.term();
-        if has_tables && self.core.role() == RoleName::Leader {
-            self.has_updates |= self.directory.apply_departure(departure);
+        match has_tables && self.core.role() == RoleName::Leader {
+            false => {}
+            true if departure.is_of_unknown_run() => {
+                let until_ms = now_ms + LATE_MS;
+                self.directory.withdraw_unknown(&departure.target, until_ms);
+                self.has_updates = true;
+            }
+            true => self.has_updates |= self.directory.apply_departure(departure),
         }
     }
 
@@ -86,13 +92,8 @@
             tracing::info!(%target, is_listed, "control: target withdrawn");
             self.has_updates = true;
         }
-        match departure {
-            Some(departure) => self.depart(departure, sender),
-            None => {
-                self.hold_departure(target.clone(), sender);
-                Ok(())
-            }
-        }
+        let unknown = || Departure::of_unknown_run(target.clone());
+        self.depart(departure.unwrap_or_else(unknown), sender)
     }
 
     fn hold_departure(&mut self, target: TargetName, sender: ReplySender<()>) {
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -85,6 +85,9 @@
         for departure in self.control.departures().iter() {
             self.directory.apply_departure(departure);
         }
+        for (target, until_ms) in self.recent_departures.late_until(now_ms) {
+            self.directory.withdraw_unknown(target, until_ms);
+        }
         self.departed.clear();
         self.directory_seen.clear();
         self.demands = DemandTable::new(self.cache.gateways, now_ms);
--- a/tests/catch_up.rs
+++ b/tests/catch_up.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// Guards against a run that goes on as it was not known when it withdrew.
+#[test]
+fn an_unknown_run_that_has_withdrawn_is_any_run() {
+    let withdrawal = Departure::of_unknown_run("t".into());
+    for started_unix_ms in [0, 5, u64::MAX] {
+        assert_eq!(withdrawal.standing(started_unix_ms), Standing::Withdrawn);
+    }
+}
+
 /// Guards against departures that a process is not told although its view is older than they are.
 #[test]
 fn departures_are_told_by_the_age_of_the_view() {
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -5,7 +5,7 @@
 use guavacove::{
     control::{
         command::{Command, Reply},
-        departures::{Departure, Departures},
+        departures::{Departure, Departures, LATE_MS, RecentDepartures},
         directory::{
             AnnouncementError, AnnouncementVersion, Directory, TargetAnnouncement, TargetEntry,
             remove_replaced,
@@ -621,3 +621,36 @@
     an_earlier_run_of_a_cached_target_left: departure(9, 4, false) => Some(false);
     an_earlier_run_of_a_cached_target_withdrew: departure(9, 4, true) => Some(false);
 }
+
+/// Guards against a target that withdrew before it was known and that a late announcement lists.
+#[test]
+fn late_announcements_list_no_target_that_withdrew_before_it_was_known() {
+    let mut directory = Directory::default();
+    assert_eq!(directory.withdrawal(&"t".into()), None);
+    directory.withdraw_unknown(&"t".into(), LATE_MS);
+    let changes = directory.changes(None, (FencingNumber(1), false)).unwrap();
+    assert_eq!(changes.removed, ["t".into()]);
+    assert!(!directory.announce(announcement("t", 5, 0, false), 10));
+    assert!(!directory.announce(announcement("t", 5, 1, false), LATE_MS - 1));
+    assert!(
+        directory.announce(announcement("t", 6, 1, false), LATE_MS),
+        "its next run"
+    );
+    assert_eq!(names(&directory), [("t".to_string(), false)]);
+}
+
+/// Guards against such a withdrawal that binds each later run.
+#[test]
+fn withdrawals_of_unknown_runs_are_not_kept() {
+    let withdrawal = Departure::of_unknown_run("t".into());
+    let mut departures = Departures::default();
+    assert!(!departures.covers(&withdrawal));
+    departures.record(withdrawal.clone());
+    assert_eq!(departures.iter().count(), 0);
+    let mut recent = RecentDepartures::default();
+    recent.learn(withdrawal.clone(), 100);
+    assert_eq!(recent.within(u64::MAX, 99 + LATE_MS), [withdrawal]);
+    assert_eq!(recent.late_until(99 + LATE_MS).count(), 1);
+    assert!(recent.within(u64::MAX, 100 + LATE_MS).is_empty());
+    assert_eq!(recent.late_until(100 + LATE_MS).count(), 0);
+}
