Keep what a view has learned against late replies

What callers could see: requests reached a target again, for about a second, that its gateway had learned to be leaving.

Cause: a process that catches up learns of departures while a renewal is under way. A reply to that renewal, from a leader that is lost by now, may still list the target as ready. It was merged over what had been learned, which was forgotten, as a leader had confirmed the view.

Evidence: a_view_keeps_departures_against_a_late_reply failed before, with a leader that replies after 1.4 s.

Now learned departures are applied after each reply, until a leader replies to a request that was sent after the last of them was learned: it holds the lease, so it knows all that is committed.

--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -90,8 +90,10 @@
     members_seen: Option<MembersPosition>,
     targets_seen: Option<TargetsPosition>,
     suspects_seen: Option<SuspectsPosition>,
-    /// Departures that other instances than a leader told since one last confirmed the view.
+    /// Departures that instances told while no leader confirmed the view, and when the last of them
+    /// was learned.
     departures: BTreeMap<TargetName, Departure>,
+    departures_learned_ms: u64,
 }
 
 impl View {
@@ -545,17 +547,20 @@
         return false;
     }
     match sent_ms {
-        None => {
-            view.shares_expire_ms = clock::boot_ms() + LOCAL_SHARE_LEASE_MS;
-            // The instance may have cached the targets before they departed.
-            let departures = std::mem::take(&mut view.departures);
-            apply_departures(view, departures.into_values());
-        }
+        None => view.shares_expire_ms = clock::boot_ms() + LOCAL_SHARE_LEASE_MS,
         Some(sent_ms) => {
             view.shares_expire_ms = sent_ms + LOCAL_SHARE_LEASE_MS;
             view.confirmed_ms = sent_ms + held_ms;
             view.valid_until_ms = view.confirmed_ms + VIEW_LEASE_MS;
-            view.departures.clear();
+        }
+    }
+    // Only a leader that replies to a later request is sure to know what was learned. An earlier one,
+    // or an instance without a leader, may list targets as they were before they departed.
+    match sent_ms.is_some_and(|sent_ms| sent_ms > view.departures_learned_ms) {
+        true => view.departures.clear(),
+        false => {
+            let departures = std::mem::take(&mut view.departures);
+            apply_departures(view, departures.into_values());
         }
     }
     true
@@ -570,11 +575,14 @@
     let version = view.policy.version;
     let is_compiled = document.is_none_or(|document| merge_document(view, document));
     let has_departures = !departures.is_empty();
+    if has_departures {
+        view.departures_learned_ms = clock::boot_ms();
+    }
     apply_departures(view, departures.into_iter());
     has_departures || is_compiled && view.policy.version > version
 }
 
-/// Applies departures to the targets, and keeps them until a leader confirms the view.
+/// Applies departures to the targets, and keeps them for replies that do not know them.
 fn apply_departures(view: &mut View, departures: impl Iterator<Item = Departure>) {
     let (seen, before) = (view.targets_seen.clone(), Arc::clone(&view.targets));
     for departure in departures {
--- a/tests/control_view.rs
+++ b/tests/control_view.rs
@@ -5,9 +5,12 @@
     clock,
     control::{
         ControlClient,
-        directory::LimitReport,
+        departures::Departure,
+        directory::{
+            AnnouncementVersion, LimitReport, TargetChanges, TargetEntry, TargetsPosition,
+        },
         members::{Member, ProcessRole},
-        rpc::{ControlError, SyncReply, SyncRequest},
+        rpc::{CatchUpReply, ControlError, SyncReply, SyncRequest},
         state::AcceptedDocument,
     },
     control_view::ControlView,
@@ -187,7 +190,106 @@
     reporting.abort();
 }
 
+/// A leader that is lost: it lists a target as ready, and is late with a reply that still does so.
+/// Meanwhile it tells as any instance would that the target leaves.
+#[derive(Default)]
+struct LateLeader {
+    renewals: AtomicU64,
+}
+
+impl LateLeader {
+    /// Time that the late reply takes: more than a view may be old, less than a renewal may take.
+    const LATE_MS: u64 = 1400;
+    /// Number of slots of the target in the late reply.
+    const LATE_SLOTS: u32 = 9;
+
+    async fn sync(&self) -> Result<SyncReply, ErrorObjectOwned> {
+        let number = self.renewals.fetch_add(1, Ordering::Relaxed);
+        let slots = match number {
+            0 => 1,
+            1 => Self::LATE_SLOTS,
+            _ => std::future::pending().await,
+        };
+        sleep_ms(number * Self::LATE_MS).await;
+        let target = TargetEntry {
+            name: "t".into(),
+            started_unix_ms: 5,
+            service: "filings".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            failure_domain: FailureDomain("a".into()),
+            slots,
+            leaving: false,
+            warming_up: false,
+            limit: RequestLimit::default(),
+        };
+        Ok(SyncReply {
+            held_ms: number * 800,
+            fencing: FencingNumber(1),
+            document: Some(AcceptedDocument {
+                version: DocumentVersion(1),
+                yaml: DOCUMENT.into(),
+                ..AcceptedDocument::default()
+            }),
+            targets: Some(TargetChanges {
+                seen: TargetsPosition {
+                    epoch: (FencingNumber(1), true),
+                    revision: number + 1,
+                },
+                whole: number == 0,
+                present: vec![target],
+                removed: Vec::new(),
+            }),
+            ..SyncReply::default()
+        })
+    }
+
+    fn catch_up() -> CatchUpReply {
+        let version = AnnouncementVersion {
+            started_unix_ms: 5,
+            sequence: 7,
+        };
+        CatchUpReply {
+            version: DocumentVersion(1),
+            departures: vec![Departure {
+                target: "t".into(),
+                version,
+                has_withdrawn: false,
+            }],
+            leads: false,
+        }
+    }
+
+    async fn serve(self: Arc<Self>) -> (SocketAddr, ServerHandle) {
+        let mut module = RpcModule::from_arc(self);
+        let sync = module.register_async_method("guavacove_sync", |_, leader, _| async move {
+            leader.sync().await
+        });
+        sync.expect("a new name");
+        let catch_up = module.register_method("guavacove_catch_up", |_, _, _| {
+            Ok::<_, ErrorObjectOwned>(Self::catch_up())
+        });
+        catch_up.expect("a new name");
+        let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+        (server.local_addr().unwrap(), server.start(module))
+    }
+}
+
+/// Guards against a departure that a view has learned and that a late reply of an earlier leader
+/// undoes.
+async fn keeps_departures_against_a_late_reply() {
+    let (address, _handle) = Arc::<LateLeader>::default().serve().await;
+    let view = view_of(address);
+    let listed = || view.load().targets.get(&"t".into()).cloned();
+    until("the target leaves", || listed().is_some_and(|t| t.leaving)).await;
+    until("the late reply", || {
+        listed().is_some_and(|t| t.slots == LateLeader::LATE_SLOTS)
+    })
+    .await;
+    assert!(listed().unwrap().leaving, "the late reply undid it");
+}
+
 cases! {
+    a_view_keeps_departures_against_a_late_reply => keeps_departures_against_a_late_reply();
     a_view_is_renewed_while_reports_change => is_renewed_while_reports_change();
     a_view_stays_valid_after_a_change_of_leader => stays_valid_after_a_change_of_leader();
     a_view_stays_valid_after_a_changed_registration => stays_valid_after_a_changed_registration();
