Name the time that a refused gateway is told, and check it by itself

Read again as a newcomer: "told to come", "put off" and "place" were no terms of the field, and the largest window was counted in three copies. Now `retry_at_ms`, `defer` and `most_in_window`; nothing else changes in the product.

The test of requests that are refused together also plays 300 gateways. A new one guards against what another link or an earlier limit was told; it shows that an end of the link and a changed limit count.

--- a/src/control/target_paces.rs
+++ b/src/control/target_paces.rs
@@ -6,8 +6,8 @@
 //! | a target's limit, as the asking gateway knows it | requests are allowed no faster; see [`RequestPace`] |
 //! | maximum wait of the request | allowed in advance and delayed if the limit allows it by then |
 //! | earlier refusals | a refused gateway is told to come after those refused before it |
-//! | requests of a gateway that was told to come later | refused until the same time; they take no place of their own |
-//! | a changed limit | the gateways that were told to come later are forgotten |
+//! | more requests of a gateway that was refused | told the same time; they do not add to the backlog |
+//! | a changed limit | earlier refusals are forgotten |
 //! | a later start of the target | its limit and pace are new |
 //!
 //! A new leader does not know what its predecessor allowed, so each pace starts with nothing.
@@ -37,8 +37,8 @@
     pace: RequestPace,
     /// Time that the limit needs for the gateways that were refused and told to come later.
     backlog_ms: u64,
-    /// When the gateway at each link was told to come.
-    told_until_ms: BTreeMap<LinkNumber, u64>,
+    /// When the refused gateway at each link is to ask again.
+    retry_at_ms: BTreeMap<LinkNumber, u64>,
     used_ms: u64,
 }
 
@@ -74,7 +74,7 @@
             known.pace = RequestPace::new(now_ms);
         }
         if known.limit.merge(limit, now_ms) {
-            known.told_until_ms.clear();
+            known.retry_at_ms.clear();
             known.backlog_ms = 0;
         }
         let elapsed_ms = now_ms.saturating_sub(known.used_ms);
@@ -86,7 +86,7 @@
         match known.pace.reserve(rate, max_wait_ms, now_ms) {
             Ok(after_ms) => allowed(after_ms),
             Err(wait_ms) => ChargeResult::Refused {
-                wait_ms: known.put_off(link, rate, wait_ms, now_ms),
+                wait_ms: known.defer(link, rate, wait_ms, now_ms),
             },
         }
     }
@@ -94,7 +94,7 @@
     /// Forgets a gateway whose link has ended.
     pub fn forget(&mut self, link: LinkNumber) {
         for known in self.by_target.values_mut() {
-            known.told_until_ms.remove(&link);
+            known.retry_at_ms.remove(&link);
         }
     }
 
@@ -120,7 +120,7 @@
                 limit: KnownLimit::default(),
                 pace: RequestPace::new(now_ms),
                 backlog_ms: 0,
-                told_until_ms: BTreeMap::new(),
+                retry_at_ms: BTreeMap::new(),
                 used_ms: now_ms,
             };
             self.by_target.insert(target.clone(), new);
@@ -134,16 +134,16 @@
 impl TargetPace {
     /// Returns the time in milliseconds after which a refused gateway is to ask again. `wait_ms` is
     /// the time until the limit allows a request.
-    fn put_off(&mut self, link: LinkNumber, rate: RequestRate, wait_ms: u64, now_ms: u64) -> u64 {
-        let told_until_ms = self.told_until_ms.entry(link).or_default();
-        if now_ms < *told_until_ms {
-            return *told_until_ms - now_ms;
+    fn defer(&mut self, link: LinkNumber, rate: RequestRate, wait_ms: u64, now_ms: u64) -> u64 {
+        let retry_at_ms = self.retry_at_ms.entry(link).or_default();
+        if *retry_at_ms > now_ms {
+            return *retry_at_ms - now_ms;
         }
         let longest_ms = wait_ms.max(MAX_BACKLOG_MS);
         let wait_ms = (wait_ms + self.backlog_ms).min(longest_ms);
         let interval_ms = RequestPace::interval_ms(rate);
         self.backlog_ms = (self.backlog_ms + interval_ms).min(MAX_BACKLOG_MS);
-        *told_until_ms = now_ms + wait_ms;
+        *retry_at_ms = now_ms + wait_ms;
         wait_ms
     }
 }
--- a/tests/target_paces.rs
+++ b/tests/target_paces.rs
@@ -84,6 +84,15 @@
     (sent, asked)
 }
 
+/// The largest number of requests in any [`WINDOW_MS`].
+fn most_in_window(sent: &[u64]) -> u64 {
+    let in_window = |start: &u64| {
+        let window = *start..start + WINDOW_MS;
+        sent.iter().filter(|at| window.contains(at)).count() as u64
+    };
+    sent.iter().map(in_window).max().unwrap_or(0)
+}
+
 /// Guards against a target that gets more requests from all gateways together than the limit that
 /// it states: incident 2026-12-filings-target-limit.
 #[test]
@@ -93,11 +102,7 @@
             for max_wait_ms in [0, 150] {
                 for lost_ms in [0, 7000, 15_550] {
                     let (sent, asked) = sends(gateways, 1, milli_per_s, max_wait_ms, &[lost_ms]);
-                    let in_window = |start: &u64| {
-                        let window = *start..start + WINDOW_MS;
-                        sent.iter().filter(|at| window.contains(at)).count() as u64
-                    };
-                    let most = sent.iter().map(in_window).max().unwrap_or(0);
+                    let most = most_in_window(&sent);
                     let allowed = milli_per_s * WINDOW_MS / 1_000_000 + 2 + milli_per_s / 5000;
                     let case = format!("{gateways} gateways, {milli_per_s}, {max_wait_ms} ms");
                     assert!(most <= allowed, "{case}: {most} in 4 s, {allowed} expected");
@@ -122,16 +127,12 @@
 #[test]
 fn requests_of_one_gateway_that_are_refused_together_count_once() {
     let mut failures = Vec::new();
-    for gateways in [1, 4, 12] {
+    for gateways in [1, 4, 12, 300] {
         for callers in [3, 12] {
             for milli_per_s in [1000, 2000, 7500] {
                 for lost_ms in [&[0][..], &[0, 4000, 8000, 12_000, 16_000, 20_000, 24_000]] {
                     let (sent, _) = sends(gateways, callers, milli_per_s, 0, lost_ms);
-                    let in_window = |start: &u64| {
-                        let window = *start..start + WINDOW_MS;
-                        sent.iter().filter(|at| window.contains(at)).count() as u64
-                    };
-                    let most = sent.iter().map(in_window).max().unwrap_or(0);
+                    let most = most_in_window(&sent);
                     let allowed = milli_per_s * WINDOW_MS / 1_000_000 + 2 + milli_per_s / 5000;
                     // Each new leader allows nothing for an interval, beside the second without one.
                     let usable_ms = 28_000 - 2000 * lost_ms.len() as u64;
@@ -151,6 +152,31 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against a gateway that is kept waiting by what another link or an earlier limit was told.
+#[test]
+fn a_refused_gateway_is_told_the_same_time_until_its_link_ends_or_the_limit_changes() {
+    let mut paces = TargetPaces::default();
+    let wait_ms = |paces: &mut TargetPaces, link, limit, now_ms| match paces.take(
+        LinkNumber(link),
+        &"plain-1".into(),
+        1,
+        limit,
+        0,
+        now_ms,
+    ) {
+        ChargeResult::Refused { wait_ms } => wait_ms,
+        charged @ ChargeResult::Charged { .. } => panic!("{charged:?}"),
+    };
+    assert_eq!(wait_ms(&mut paces, 1, limit(1000), START_MS), 1000);
+    assert_eq!(wait_ms(&mut paces, 1, limit(1000), START_MS), 1000);
+    assert_eq!(wait_ms(&mut paces, 1, limit(1000), START_MS + 400), 600);
+    assert_eq!(wait_ms(&mut paces, 2, limit(1000), START_MS + 400), 1200);
+    paces.forget(LinkNumber(1));
+    assert_eq!(wait_ms(&mut paces, 1, limit(1000), START_MS + 400), 2200);
+    let stricter = limit(500);
+    assert_eq!(wait_ms(&mut paces, 1, stricter, START_MS + 400), 1200);
+}
+
 #[test]
 fn a_later_run_of_a_target_has_no_limit_until_it_states_one() {
     let mut paces = TargetPaces::default();
@@ -224,11 +250,7 @@
                 }
             }
             sent.sort_unstable();
-            let in_window = |start: &u64| {
-                let window = *start..start + WINDOW_MS;
-                sent.iter().filter(|at| window.contains(at)).count() as u64
-            };
-            let most = sent.iter().map(in_window).max().unwrap_or(0);
+            let most = most_in_window(&sent);
             let allowed = milli_per_s * WINDOW_MS * 3 / 2_000_000 + 5;
             let case = format!("{gateways} gateways, {milli_per_s}");
             assert!(most <= allowed, "{case}: {most} in 4 s, {allowed} allowed");
