Show that a late withdrawal takes a later run out of service (review case 9)

A withdrawal names no run, so one that was held up on the way removes the run that has started since.

--- a/review/9/main.rs
+++ b/review/9/main.rs
@@ -1,5 +1,5 @@
-//! Another writer sends heartbeats with the addresses of the servers of one service, under other ids and
-//! with a service that no configuration names. Are the servers' own heartbeats still followed?
+//! The servers of one service leave and start again under the ids that they had. A withdrawal that was
+//! held up on the way arrives after that. Are the servers used again?
 
 #[path = "../common-2/harness.rs"]
 mod harness;
@@ -21,7 +21,10 @@
 /// The services, the route of each, and the machines of its servers.
 const SERVICES: [(&str, &str, [u8; 3]); 2] =
     [("filing1b", "notices", [20, 21, 22]), ("status1c", "status", [30, 31, 32])];
-const OTHER_SERVICE: &str = "archive9z";
+/// Time for which the network holds the first withdrawal of each server.
+const HELD_MS: u64 = 4000;
+/// Time from a server's end until it starts again.
+const RESTART_MS: u64 = 500;
 const CALLERS: usize = 4;
 /// Time under load before the other writer begins, and after that.
 const LOAD_BEFORE: Duration = Duration::from_secs(6);
@@ -108,6 +111,46 @@
     Some((line.split(' ').nth(1)?.parse().ok()?, signature.unwrap_or_default()))
 }
 
+/// Address of the instance that answers a read of the configuration without a redirect.
+fn leader_of(control: &[SocketAddr]) -> SocketAddr {
+    let leads = |address: &&SocketAddr| call(**address, "GET", "/config", "", 1000).is_ok_and(|reply| reply.status == 200);
+    let mut leader = None;
+    wait_for("a leader is known", 5000, || {
+        leader = control.iter().find(leads).copied();
+        leader.is_some()
+    });
+    leader.expect("it was found")
+}
+
+/// A server withdraws, ends, and starts again under its id. Its first call gets no response within a
+/// second, as the network holds it; so it calls the next instance.
+fn leave_and_return(site: &Site, control: &[SocketAddr], leader: SocketAddr, service: &str, machine: u8) {
+    let id = format!("i-{machine}");
+    let path = format!("/instances/{id}");
+    if has_trouble() {
+        let (path, id) = (path.clone(), id.clone());
+        thread::spawn(move || {
+            sleep_ms(HELD_MS);
+            let reply = call(leader, "DELETE", &path, "", 1000);
+            record(format!("the withdrawal of {id} that was held arrives: {:?}", reply.map(|reply| reply.status)));
+        });
+        sleep_ms(1000);
+    }
+    let reply = call_control(control, "DELETE", &path, "", 5000);
+    record(format!("the withdrawal of {id} is answered with {:?}", reply.map(|reply| reply.status)));
+    sleep_ms(200);
+    kill(&id);
+    sleep_ms(RESTART_MS);
+    start_server(site, control, service, machine);
+}
+
+fn start_server(site: &Site, control: &[SocketAddr], service: &str, machine: u8) {
+    let id = format!("i-{machine}");
+    let mut command = Command::new(std::env::current_exe().unwrap());
+    command.args(["server", &id, service, &site.at(machine, site.server_port()).to_string()]);
+    start(&id, &site.folder, command.args(control.iter().map(ToString::to_string)));
+}
+
 fn run() {
     open_record();
     let site = Site::open("9");
@@ -119,10 +162,7 @@
     site.start_role("gateway", "edge-1-gateway", 1, ZONE, &cores, true);
     for (service, _, machines) in SERVICES {
         for machine in machines {
-            let id = format!("i-{machine}");
-            let mut command = Command::new(std::env::current_exe().unwrap());
-            command.args(["server", &id, service, &site.at(machine, site.server_port()).to_string()]);
-            start(&id, &site.folder, command.args(control.iter().map(ToString::to_string)));
+            start_server(&site, &control, service, machine);
         }
     }
     let routes = SERVICES.map(|(service, route, _)| {
@@ -175,14 +215,13 @@
         end_all();
         std::process::exit(2);
     }
-    if has_trouble() {
-        let (service, _, machines) = SERVICES[0];
-        record(format!("another writer begins: heartbeats with the addresses of {machines:?}, servers of {service}, for {OTHER_SERVICE}"));
-        for machine in machines {
-            let address = site.at(machine, site.server_port());
-            keep_announced(control.clone(), format!("x-{machine}"), heartbeat(OTHER_SERVICE, address, ZONE, 6));
-        }
+    let (service, _, machines) = SERVICES[0];
+    let leader = leader_of(&control);
+    record(format!("the servers {machines:?} of {service} leave in turn; {leader} leads"));
+    for machine in machines {
+        leave_and_return(&site, &control, leader, service, machine);
     }
+    sleep_ms(HELD_MS + 1000);
     let [disturbed, other] = load("then", LOAD);
     let all = (disturbed.share() + other.share()) / 2.0;
     let verdict = format!(
