--- a/review/10/main.rs
+++ b/review/10/main.rs
@@ -41,14 +41,16 @@
     let (id, service, listen) = (arguments[0].clone(), &arguments[1], &arguments[2]);
     let control: Vec<SocketAddr> = arguments[3..].iter().map(|a| a.parse().unwrap()).collect();
     let (own, address) = (id.clone(), listen.parse().unwrap());
-    serve(address, move |stream| answer(&own, stream));
+    let answers = Arc::new(AtomicU64::new(0));
+    record_each_second(format!("{id} of {service}: requests run and answered"), Arc::clone(&answers));
+    serve(address, move |stream| answer(&own, stream, &answers));
     keep_announced(control, id, heartbeat(service, address, ZONE, 6));
     loop {
         thread::park();
     }
 }
 
-fn answer(id: &str, mut stream: TcpStream) {
+fn answer(id: &str, mut stream: TcpStream, answers: &AtomicU64) {
     let mut requests = reader(&stream);
     while let Some(request) = read_request(&mut requests) {
         let request_id = request.header("x-guavacove-request-id");
@@ -59,15 +61,16 @@
         if stream.write_all(head.as_bytes()).is_err() {
             return;
         }
+        answers.fetch_add(1, Ordering::Relaxed);
     }
 }
 
 /// Requests of one kind, and those answered by a server.
 #[derive(Default)]
 struct Counts {
-    asked: AtomicU64,
-    served: AtomicU64,
-    refused: AtomicU64,
+    asked: Arc<AtomicU64>,
+    served: Arc<AtomicU64>,
+    refused: Arc<AtomicU64>,
 }
 
 impl Counts {
@@ -151,6 +154,10 @@
         let counts = SERVICES.map(|_| Arc::new(Counts::default()));
         let mut callers = Vec::new();
         for ((_, route, _), counts) in SERVICES.iter().zip(&counts) {
+            let kinds = [("sent", &counts.asked), ("served", &counts.served), ("refused with 503", &counts.refused)];
+            for (kind, count) in kinds {
+                record_each_second(format!("{route}: {kind}"), Arc::clone(count));
+            }
             for caller in 0..CALLERS {
                 let counts = Arc::clone(counts);
                 callers.push(thread::spawn(move || call_repeatedly(gateway, route, caller, until, &counts)));
--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -55,6 +55,7 @@
         return;
     }
     let request_id = request.header("x-guavacove-request-id");
+    record(format!("{id} runs {request_id}"));
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Guavacove-Request-Id: {request_id}\r\nX-Guavacove-Server-Signature: {id}.{request_id}\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
     );
@@ -63,6 +64,7 @@
         if stream.write_all(format!("id: {event}\ndata: piece {event}\n\n").as_bytes()).is_err() {
             return;
         }
+        record(format!("{id} sent event {event} of {EVENTS} of {request_id}"));
         thread::sleep(Duration::from_millis(EVENT_MS));
     }
     let _ = stream.shutdown(Shutdown::Both);
--- a/review/common-2/harness.rs
+++ b/review/common-2/harness.rs
@@ -9,7 +9,10 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio, exit},
-    sync::{Arc, Mutex, OnceLock},
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -17,23 +20,66 @@
 /// Exit code if the case could not run.
 const NOT_RUN: i32 = 2;
 
-static START: OnceLock<Instant> = OnceLock::new();
+/// Variable that tells the stand-in processes when the case began, in Unix milliseconds.
+const START_VARIABLE: &str = "CASE_START_MS";
+
+static START_MS: OnceLock<u64> = OnceLock::new();
 static RECORD: OnceLock<Mutex<File>> = OnceLock::new();
+/// Logs of the stand-in processes, which become part of the record.
+static STAND_IN_LOGS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
+fn start_ms() -> u64 {
+    *START_MS.get_or_init(|| {
+        let start_ms = std::env::var(START_VARIABLE).ok();
+        start_ms.and_then(|start_ms| start_ms.parse().ok()).unwrap_or_else(unix_ms)
+    })
+}
 
 /// Opens the record of the case; its lines carry the seconds since then.
 pub fn open_record() {
-    START.get_or_init(Instant::now);
+    start_ms();
     let file = File::create(own_folder().join("record.txt")).expect("the folder can be written");
     RECORD.get_or_init(|| Mutex::new(file));
 }
 
+/// Adds a line to the record; in a stand-in process, to its log.
 pub fn record(line: impl AsRef<str>) {
-    let at = START.get_or_init(Instant::now).elapsed().as_secs_f64();
+    let at = unix_ms().saturating_sub(start_ms()) as f64 / 1000.0;
     let line = format!("{at:8.3} {}\n", line.as_ref());
     match RECORD.get() {
         Some(file) => drop(file.lock().unwrap().write_all(line.as_bytes())),
-        None => print!("{line}"),
+        None => drop(io::stdout().write_all(line.as_bytes())),
+    }
+}
+
+/// Adds what the stand-in processes recorded, in the order of time.
+fn merge_records() {
+    let path = own_folder().join("record.txt");
+    let mut text = fs::read_to_string(&path).unwrap_or_default();
+    for log in STAND_IN_LOGS.lock().unwrap().drain(..) {
+        text += &fs::read_to_string(log).unwrap_or_default();
     }
+    let mut lines: Vec<&str> = text.lines().collect();
+    lines.sort_by_key(|line| {
+        let seconds: f64 = line.split_whitespace().next().and_then(|at| at.parse().ok()).unwrap_or(0.0);
+        (seconds * 1000.0) as u64
+    });
+    let _ = fs::write(path, lines.join("\n") + "\n");
+}
+
+/// Records once a second what a count has gained.
+pub fn record_each_second(what: String, count: Arc<AtomicU64>) {
+    thread::spawn(move || {
+        let mut known = 0;
+        loop {
+            sleep_ms(1000);
+            let now = count.load(Ordering::Relaxed);
+            if now > known {
+                record(format!("{what}: {}", now - known));
+            }
+            known = now;
+        }
+    });
 }
 
 /// The folder of the case: the directory that `run.sh` passes.
@@ -72,13 +118,20 @@
 
 /// Starts a process; its log goes to a file in the temporary folder.
 pub fn start(name: &str, folder: &Path, command: &mut Command) {
+    let path = folder.join(format!("{name}.log"));
     let log = File::options()
         .create(true)
         .append(true)
-        .open(folder.join(format!("{name}.log")))
+        .open(&path)
         .expect("the temporary folder can be written");
     let errors = log.try_clone().expect("a file can be shared");
+    let mut logs = STAND_IN_LOGS.lock().unwrap();
+    if std::env::current_exe().is_ok_and(|own| own == command.get_program()) && !logs.contains(&path) {
+        logs.push(path);
+    }
+    drop(logs);
     let child = command
+        .env(START_VARIABLE, start_ms().to_string())
         .stdin(Stdio::null())
         .stdout(log)
         .stderr(errors)
@@ -92,17 +145,6 @@
     CHILDREN.lock().unwrap().push((name.into(), child));
 }
 
-/// Sends a signal to a process that the case started.
-pub fn signal(name: &str, signal: &str) {
-    let children = CHILDREN.lock().unwrap();
-    let child = children.iter().rev().find(|(known, _)| known == name);
-    if let Some((_, child)) = child {
-        record(format!("{signal} to {name}"));
-        let id = child.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
-    }
-}
-
 /// Kills a process and waits for its end.
 pub fn kill(name: &str) {
     let mut children = CHILDREN.lock().unwrap();
@@ -114,23 +156,6 @@
     }
 }
 
-/// Whether a process has ended by itself.
-pub fn has_ended(name: &str) -> bool {
-    let mut children = CHILDREN.lock().unwrap();
-    let child = children.iter_mut().find(|(known, _)| known == name);
-    child.is_some_and(|(_, child)| matches!(child.try_wait(), Ok(Some(_))))
-}
-
-/// Resident memory of a process, in KB.
-pub fn resident_kb(name: &str) -> u64 {
-    let children = CHILDREN.lock().unwrap();
-    let child = children.iter().find(|(known, _)| known == name);
-    let Some((_, child)) = child else { return 0 };
-    let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
-}
-
 /// Ends all processes that the case started.
 pub fn end_all() {
     for (_, child) in CHILDREN.lock().unwrap().iter_mut() {
@@ -143,6 +168,7 @@
 pub fn finish(is_broken: bool, verdict: &str) -> ! {
     end_all();
     record(verdict);
+    merge_records();
     println!("{verdict}");
     exit(i32::from(is_broken));
 }
