Take the end of an unframed response for whole only if its run is there

The stream had neither a length nor chunks; its target crashed behind a cut, started again at its address under another name, and then the gateway read the end of the connection.

Cause: after such an end the gateway opened a connection to the address and took whatever accepted it for the run that wrote the response. A later start was looked for under the same name only. The agent of a plain target asked the address alone. An address and a name outlive a run.

Evidence: the control instance logged "target replaced at its address" 0.7 s before the cut healed; the gateway then logged "stream ends", framing connection, for the four streams. Ruled out: a reset that was taken for an orderly end (the relay of the script closes in order).

Change: `target_run` decides, for gateways and agents, from what the address says of itself and what the directory lists. The address is asked at the paths that the document names for the service (`identity_paths`): on the platform the report of a model engine, which has its start, and the health check, which has its name. Without a path, as in other documents, what accepts a connection counts as before, unless a later run is listed. Agents ask a target that announces a path and its start. After a freeze of the gateway the directory has to be confirmed first. The pool keeps connections by the same `TargetRun`.

Cost: one question for each response without framing, nothing for others; see the metric `guavacove_gateway_run_check_milliseconds`.

--- a/src/agent/announcement.rs
+++ b/src/agent/announcement.rs
@@ -32,6 +32,14 @@
         /// Version of its software; empty if it states none.
         #[serde(default)]
         pub version: TargetVersion,
+        /// When the target started, in Unix milliseconds by its own clock; omitted if it does not
+        /// tell.
+        #[serde(default)]
+        pub started_unix_ms: Option<u64>,
+        /// Path at which the target answers `GET` with the header `guavacove-target-started`, the
+        /// same time; omitted if there is none.
+        #[serde(default)]
+        pub identity_path: Option<String>,
     }
 }
 
--- a/src/agent/dispatcher/runs.rs
+++ b/src/agent/dispatcher/runs.rs
@@ -67,7 +67,14 @@
         let message = call.in_scope(|| target::build_request(request, address, &head));
         let outcome = match message {
             Some(message) => {
-                let run = target::run(&announcement, request, message, &head, &response);
+                let run = target::run(
+                    &announcement,
+                    || self.announced(),
+                    request,
+                    message,
+                    &head,
+                    &response,
+                );
                 let outcome = run.instrument(call).await;
                 if outcome == Outcome::NotRun {
                     self.mark_unreachable();
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -25,5 +25,5 @@
     announcement::Announcement,
     load_report::LoadReport,
     server::{Agent, AgentStartError},
-    target::{REQUEST_ID_HEADER, end_to_end_headers, is_hop_by_hop_header},
+    target::{REQUEST_ID_HEADER, STARTED_HEADER, end_to_end_headers, is_hop_by_hop_header},
 };
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -4,9 +4,10 @@
 use crate::{
     control::command::{Outcome, RecordedResponse},
     gateway::events::EventBoundary,
-    response_end::{self, ContentEnd, EndVerdict, Framing, TargetAfter},
+    response_end::{self, ContentEnd, EndVerdict, Framing},
+    target_run::{self, AddressCheck, Listing, RunAfter, RunStatement, TargetRun},
     telemetry,
-    units::RequestId,
+    units::{RequestId, TargetName},
     verdict::{Reason, Verdict},
     wire::DispatchedRequest,
 };
@@ -14,7 +15,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     net::TcpStream,
     time::{sleep, timeout},
@@ -22,6 +23,8 @@
 
 /// Header with the request id, by which an engine cancels and resumes requests.
 pub const REQUEST_ID_HEADER: &str = "guavacove-request-id";
+/// Header with the start of the run that answers, in Unix milliseconds.
+pub const STARTED_HEADER: &str = "guavacove-target-started";
 /// Timeout for connecting to the target.
 const CONNECT_TIMEOUT_MS: u64 = 1000;
 /// Time without data from an engine after which the response is resumed on a new connection,
@@ -33,6 +36,8 @@
 const LOAD_TIMEOUT_MS: u64 = 500;
 /// Maximum size of a load report.
 const MAX_LOAD_BYTES: usize = 64 * 1024;
+/// Timeout for a target to tell its start.
+const IDENTITY_TIMEOUT_MS: u64 = 1000;
 /// Timeout for a target to accept an order.
 const ORDER_TIMEOUT_MS: u64 = 2000;
 /// Number of failures after which a response is reported as failed. While the engine is silent,
@@ -60,6 +65,13 @@
     let Ok(Ok(stream)) = connected else {
         return Err(CallError(Verdict::NotRun));
     };
+    send_on(stream, request).await
+}
+
+async fn send_on(
+    stream: TcpStream,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, CallError> {
     let _ = stream.set_nodelay(true);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(|_| CallError(Verdict::NotRun))?;
@@ -214,9 +226,11 @@
     }
 }
 
-/// Runs a request at the target, forwards the response and returns the outcome.
+/// Runs a request at the target, forwards the response and returns the outcome. `latest` returns the
+/// latest announcement at the agent.
 pub async fn run(
     announcement: &Announcement,
+    latest: impl Fn() -> Option<Arc<Announcement>>,
     request: RequestId,
     message: Request<Full<Bytes>>,
     head: &DispatchedRequest,
@@ -280,7 +294,7 @@
             }
             ReadResult::Ended => {
                 let content = body.content_end(is_stream);
-                judge_end(request, announcement, framing, content).await
+                judge_end(request, announcement, &latest, framing, content).await
             }
             _ => EndVerdict::Broken("not ended"),
         };
@@ -366,36 +380,84 @@
     Framing::of(&Method::GET, resumed.status(), resumed.headers())
 }
 
-/// Whether a response that has ended is whole; asks its target for a connection if that matters.
+/// Whether a response that has ended is whole; asks which run is at the address of its target if
+/// that matters.
 async fn judge_end(
     request: RequestId,
     announcement: &Announcement,
+    latest: impl Fn() -> Option<Arc<Announcement>>,
     framing: Framing,
     content: ContentEnd,
 ) -> EndVerdict {
-    let target = match response_end::depends_on_target(framing, content) {
-        true => check_target(announcement.address).await,
-        false => TargetAfter::Unknown,
+    if !response_end::depends_on_run(framing, content) {
+        return response_end::judge(framing, content, RunAfter::Unknown);
+    }
+    let check = check_address(announcement).await;
+    let run = TargetRun {
+        name: TargetName::default(),
+        started_unix_ms: announcement.started_unix_ms.unwrap_or_default(),
     };
-    let verdict = response_end::judge(framing, content, target);
+    let is_later = |latest: &Announcement| latest.started_unix_ms > announcement.started_unix_ms;
+    let listing = match latest().is_some_and(|latest| is_later(&latest)) {
+        true => Listing::LaterRun,
+        false => Listing::NoLaterRun,
+    };
+    let run_after = target_run::judge(&run, &check, listing);
+    let verdict = response_end::judge(framing, content, run_after);
     if verdict != EndVerdict::Whole {
         tracing::warn!(
-            "agent: the answer to {request} ended ({framing}, {content:?}), target {target:?}: {verdict:?}"
+            "agent: the answer to {request} ended ({framing}, {content:?}), {check:?}, {listing:?}: {verdict:?}"
         );
     }
     verdict
 }
 
-/// Asks a target for a connection after one that it closed.
-async fn check_target(address: SocketAddr) -> TargetAfter {
-    let connecting = TcpStream::connect(address);
-    match timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await {
-        Ok(Ok(_)) => TargetAfter::Accepts,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => TargetAfter::Gone,
-        Ok(Err(_)) | Err(_) => TargetAfter::Unknown,
+/// Asks the address of a target which run is there.
+async fn check_address(announcement: &Announcement) -> AddressCheck {
+    let connecting = TcpStream::connect(announcement.address);
+    let connected = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await;
+    let path = announcement.identity_path.as_deref();
+    match (connected, announcement.started_unix_ms.and(path)) {
+        (Ok(Err(error)), _) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            AddressCheck::Refused
+        }
+        (Ok(Err(_)) | Err(_), _) => AddressCheck::NotReached,
+        (Ok(Ok(_)), None) => AddressCheck::Accepted,
+        (Ok(Ok(stream)), Some(path)) => {
+            let asking = read_start(stream, announcement.address, path);
+            match timeout(Duration::from_millis(IDENTITY_TIMEOUT_MS), asking).await {
+                Ok(Ok(statement)) => AddressCheck::Answered(statement),
+                Ok(Err(error)) => {
+                    tracing::info!("agent: the target did not tell its start: {error}");
+                    AddressCheck::NotReached
+                }
+                Err(_) => {
+                    tracing::info!("agent: the target did not tell its start in time");
+                    AddressCheck::NotReached
+                }
+            }
+        }
     }
 }
 
+/// Asks for the start of the run that accepted a connection.
+async fn read_start(
+    stream: TcpStream,
+    address: SocketAddr,
+    path: &str,
+) -> Result<RunStatement, String> {
+    let question = Request::get(path).header("host", address.to_string());
+    let question = question.body(Full::<Bytes>::default());
+    let question = question.map_err(|error| error.to_string())?;
+    let sent = send_on(stream, question).await;
+    let response = sent.map_err(|CallError(verdict)| format!("the call failed: {verdict}"))?;
+    let started = response.headers().get(STARTED_HEADER);
+    Ok(RunStatement {
+        name: None,
+        started_unix_ms: started.and_then(|started| started.to_str().ok()?.trim().parse().ok()),
+    })
+}
+
 fn engine_request(method: Method, request: RequestId, query: &str) -> Request<Full<Bytes>> {
     Request::builder()
         .method(method)
--- a/src/document.rs
+++ b/src/document.rs
@@ -151,6 +151,9 @@
     pub max_connections: Option<u64>,
     /// Memory of one target for prompts and answers, in tokens; `None` if unknown.
     pub memory_tokens: Option<u64>,
+    /// Paths at which a target tells its name or when it started, in the order in which they are
+    /// asked.
+    pub identity_paths: Vec<String>,
 }
 
 /// Policy that the rules of the document assign to one request.
@@ -222,6 +225,7 @@
                 requires_key: service.require_key,
                 max_connections: Some(bounded(service.max_connections)).filter(|limit| *limit > 0),
                 memory_tokens: Some(bounded(service.memory_tokens)).filter(|tokens| *tokens > 0),
+                identity_paths: service.identity_paths.into_iter().map(Into::into).collect(),
             };
             policy.services.insert(name, compiled);
         }
--- a/src/document_types.rs
+++ b/src/document_types.rs
@@ -676,6 +676,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
+    #[doc = "The paths at which a target tells its name or when it started. They are asked in this order, by GET, after a response that has neither a length nor chunks; without a path, whatever accepts a connection counts as the target."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub identity_paths: ::std::vec::Vec<ServiceIdentityPathsItem>,
     pub kind: ServiceKind,
     #[doc = "How many connections one target takes from all gateways together; 0 means no limit."]
     #[serde(default)]
@@ -697,6 +700,59 @@
     #[serde(default)]
     pub require_key: bool,
 }
+#[doc = "`ServiceIdentityPathsItem`"]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ServiceIdentityPathsItem(::std::string::String);
+impl ::std::ops::Deref for ServiceIdentityPathsItem {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ServiceIdentityPathsItem> for ::std::string::String {
+    fn from(value: ServiceIdentityPathsItem) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ServiceIdentityPathsItem {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 20000usize {
+            return Err("longer than 2000 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ServiceIdentityPathsItem {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ServiceIdentityPathsItem {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ServiceIdentityPathsItem {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
 #[doc = "A model engine that streams tokens, or a plain HTTP service."]
 #[derive(
     :: serde :: Deserialize,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -27,7 +27,7 @@
     document::{QuotaPolicy, RetryPolicy},
     entry::refusal::Refusal,
     metrics,
-    response_end::{self, ContentEnd, EndVerdict, Framing, TargetAfter},
+    response_end::{ContentEnd, EndVerdict, Framing},
     units::*,
     verdict::{Reason, Verdict},
 };
@@ -770,8 +770,9 @@
         };
         let framing = Framing::of(&incoming.method, status, &parts.headers);
         if is_whole
-            && let EndVerdict::Broken(error) =
-                self.judge_end(&slot, framing, ContentEnd::NotEvents).await
+            && let EndVerdict::Broken(error) = self
+                .judge_end(incoming, &slot, framing, ContentEnd::NotEvents)
+                .await
         {
             slot.record_failure(&incoming.id, error);
             self.record_break(incoming, progress, &slot, false).await;
@@ -821,21 +822,6 @@
         Ok(Some(GatewayResponse::Buffered(response)))
     }
 
-    /// Returns whether a response that has ended is whole; asks its target for a connection if that
-    /// matters.
-    pub async fn judge_end(
-        &self,
-        slot: &SlotGuard,
-        framing: Framing,
-        content: ContentEnd,
-    ) -> EndVerdict {
-        let target = match response_end::depends_on_target(framing, content) {
-            true => slot.target_after(self.connections.check_target(&slot.target).await),
-            false => TargetAfter::Unknown,
-        };
-        response_end::judge(framing, content, target)
-    }
-
     /// Passes a response on as it arrives, after the part of its body that was read before.
     fn relay(
         self: &Arc<Self>,
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -280,7 +280,9 @@
             content => content,
         };
         let (attempts, slot) = (&self.attempts, &self.slot);
-        attempts.judge_end(slot, self.framing, content).await
+        attempts
+            .judge_end(&self.incoming, slot, self.framing, content)
+            .await
     }
 
     fn record_sent(&mut self, bytes: u64) {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -2,8 +2,7 @@
 
 use crate::{
     control::directory::TargetEntry,
-    response_end::TargetAfter,
-    units::TargetName,
+    target_run::TargetRun,
     verdict::{Reason, Verdict},
 };
 use bytes::Bytes;
@@ -73,20 +72,13 @@
     pub error: String,
 }
 
-/// Name and start time of a target.
-type TargetKey = (TargetName, u64);
-
 /// Connections that are kept for further requests.
 #[derive(Default)]
 pub struct ConnectionPool {
-    idle: Mutex<HashMap<TargetKey, Vec<Connection>>>,
+    idle: Mutex<HashMap<TargetRun, Vec<Connection>>>,
     /// Targets whose connections are not reused, and when each last refused a request without
     /// its id.
-    suspended: Mutex<HashMap<TargetKey, Instant>>,
-}
-
-fn key(target: &TargetEntry) -> TargetKey {
-    (target.name.clone(), target.started_unix_ms)
+    suspended: Mutex<HashMap<TargetRun, Instant>>,
 }
 
 impl ConnectionPool {
@@ -117,26 +109,6 @@
         }
     }
 
-    /// Asks a target for a new connection after one that it closed, and keeps the new one.
-    pub async fn check_target(&self, target: &TargetEntry) -> TargetAfter {
-        match open_stream(target.address).await {
-            Ok(stream) => {
-                match handshake(stream).await {
-                    Ok(connection) => self.keep(target, connection),
-                    Err(error) => {
-                        tracing::debug!(target = %target.name, %error, "gateway: connection not kept");
-                    }
-                }
-                TargetAfter::Accepts
-            }
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => TargetAfter::Gone,
-            Err(error) => {
-                tracing::info!(target = %target.name, %error, "gateway: target not reached after its response");
-                TargetAfter::Unknown
-            }
-        }
-    }
-
     /// Like [`Self::call`], on a connection that stands.
     ///
     /// # Errors
@@ -194,19 +166,25 @@
         self.keep(target, connection);
     }
 
-    fn keep(&self, target: &TargetEntry, mut connection: Connection) {
+    /// Keeps a connection on which nothing is in progress for further requests.
+    pub fn keep(&self, target: &TargetEntry, mut connection: Connection) {
         connection.is_pooled = true;
         let is_kept = connection.idle_timeout_ms > 0 && !self.is_reuse_suspended(target);
         if is_kept && !connection.sender.is_closed() {
-            self.idle().entry(key(target)).or_default().push(connection);
+            self.idle()
+                .entry(TargetRun::of(target))
+                .or_default()
+                .push(connection);
         }
     }
 
     /// Sends each request to the target on a new connection for some time: there a refusal without
     /// an id belongs to the request.
     pub fn suspend_reuse(&self, target: &TargetEntry) {
-        let earlier = self.suspended().insert(key(target), Instant::now());
-        self.idle().remove(&key(target));
+        let earlier = self
+            .suspended()
+            .insert(TargetRun::of(target), Instant::now());
+        self.idle().remove(&TargetRun::of(target));
         if earlier.is_none() {
             tracing::warn!(
                 target = %target.name, for_ms = REUSE_SUSPENSION_MS,
@@ -216,7 +194,9 @@
     }
 
     fn is_reuse_suspended(&self, target: &TargetEntry) -> bool {
-        self.suspended().get(&key(target)).is_some_and(is_recent)
+        self.suspended()
+            .get(&TargetRun::of(target))
+            .is_some_and(is_recent)
     }
 
     /// Closes idle connections that have timed out.
@@ -231,7 +211,7 @@
     /// Removes the most recently used connection from the pool.
     fn take_idle(&self, target: &TargetEntry) -> Option<Connection> {
         let mut idle = self.idle();
-        let connections = idle.get_mut(&key(target))?;
+        let connections = idle.get_mut(&TargetRun::of(target))?;
         while let Some(connection) = connections.pop() {
             if connection.is_usable() && connection.sender.is_ready() {
                 return Some(connection);
@@ -240,11 +220,11 @@
         None
     }
 
-    fn idle(&self) -> MutexGuard<'_, HashMap<TargetKey, Vec<Connection>>> {
+    fn idle(&self) -> MutexGuard<'_, HashMap<TargetRun, Vec<Connection>>> {
         self.idle.lock().expect("no holder panics")
     }
 
-    fn suspended(&self) -> MutexGuard<'_, HashMap<TargetKey, Instant>> {
+    fn suspended(&self) -> MutexGuard<'_, HashMap<TargetRun, Instant>> {
         self.suspended.lock().expect("no holder panics")
     }
 }
@@ -254,6 +234,24 @@
 }
 
 impl Connection {
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    /// Returns an error if the connection breaks off.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        let response = self.sender.send_request(request).await?;
+        self.idle_timeout_ms = idle_timeout_ms(response.headers());
+        Ok(response)
+    }
+
+    /// Returns whether another request can be sent on the connection.
+    pub fn can_be_reused(&self) -> bool {
+        self.idle_timeout_ms > 0 && !self.sender.is_closed()
+    }
+
     /// Returns whether an earlier request was sent on the connection.
     pub fn is_reused(&self) -> bool {
         self.is_reused
@@ -276,6 +274,15 @@
     matches!(result, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+/// Opens a connection to an address.
+///
+/// # Errors
+/// Returns an error of the kind [`io::ErrorKind::ConnectionRefused`] if nothing listens there.
+pub async fn open(address: SocketAddr) -> io::Result<Connection> {
+    let stream = open_stream(address).await?;
+    handshake(stream).await.map_err(io::Error::other)
+}
+
 async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
     let connect_attempt = TcpStream::connect(address);
     let result = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connect_attempt).await;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -1,6 +1,6 @@
 //! Header metadata of callers and targets, decoded and encoded by a [`TrafficDialect`].
 
-use crate::{derives::record, request_limit::StatedLimit, units::*};
+use crate::{derives::record, request_limit::StatedLimit, target_run::RunStatement, units::*};
 use hyper::{HeaderMap, StatusCode};
 
 record! {
@@ -76,4 +76,7 @@
 
     /// Decodes the metadata of a target's response.
     fn decode_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseMetadata;
+
+    /// Decodes what a target says of its run, in a response at an identity path of its service.
+    fn decode_run(&self, headers: &HeaderMap, body: &[u8]) -> RunStatement;
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod response_origin;
 pub mod retry_after;
 pub mod retry_budget;
+mod run_check;
 mod search;
 mod server;
 mod shared_queues;
--- a/src/gateway/targets/feedback.rs
+++ b/src/gateway/targets/feedback.rs
@@ -7,8 +7,8 @@
     },
     request_limit::{RequestRate, StatedLimit},
     request_pace::draws_interval,
-    response_end::TargetAfter,
     target_pace::DEFAULT_UNIT_MICROS,
+    target_run::{Listing, TargetRun},
 };
 use hyper::StatusCode;
 
@@ -314,15 +314,14 @@
         );
     }
 
-    /// Returns what is known of this run of the target after it closed a connection. `asked` is
-    /// the result of asking for a new one.
-    pub fn target_after(&self, asked: TargetAfter) -> TargetAfter {
+    /// Returns what the directory lists in the place of this run of the target.
+    pub fn listing(&self) -> Listing {
+        let run = TargetRun::of(&self.target);
         let view = self.targets.view.load();
-        let listed = view.targets.get(&self.target.name);
-        let is_newer = |listed: &TargetEntry| listed.started_unix_ms > self.target.started_unix_ms;
-        match listed.is_some_and(is_newer) {
-            true => TargetAfter::Gone,
-            false => asked,
+        let mut listed = view.targets.values();
+        match listed.any(|entry| run.is_succeeded_by(self.target.address, entry)) {
+            true => Listing::LaterRun,
+            false => Listing::NoLaterRun,
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod signals;
 pub mod standin;
 pub mod target_pace;
+pub mod target_run;
 pub mod telemetry;
 pub mod threads;
 pub mod units;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -346,6 +346,11 @@
     "guavacove.gateway.first_event",
     "How long the head of an answer took from the arrival of the request, by service and rank"
 );
+histogram!(
+    GATEWAY_RUN_CHECK,
+    "guavacove.gateway.run_check",
+    "How long it took to find out whether the run that wrote a response is there, by service and result"
+);
 histogram!(
     GATEWAY_DURATION,
     "guavacove.gateway.duration",
@@ -604,6 +609,15 @@
     GATEWAY_WITHOUT_KEEPER.add(1, &[KeyValue::new("service", service.0.clone())]);
 }
 
+/// Records how long it took to find out whether the run of a target is there, and what came of it.
+pub fn gateway_run_checked(service: &ServiceName, result: &'static str, took_ms: u64) {
+    let labels = [
+        KeyValue::new("service", service.0.clone()),
+        KeyValue::new("result", result),
+    ];
+    GATEWAY_RUN_CHECK.record(took_ms, &labels);
+}
+
 /// Counts a request that a target refused without running it.
 pub fn gateway_target_full(service: &ServiceName) {
     GATEWAY_FULL.add(1, &[KeyValue::new("service", service.0.clone())]);
--- a/src/response_end.rs
+++ b/src/response_end.rs
@@ -1,22 +1,24 @@
 //! Decides whether a response of a target that has ended is whole. Pure: no I/O and no clock.
 //!
 //! A response with neither a length nor chunks ends with its connection, whether the target wrote
-//! all of it or stopped. Only a target that still accepts connections shows that it wrote all of it.
-//! One that has said that it leaves may be gone because it was done, or because it was killed.
+//! all of it or stopped. Only a run of the target that is still there shows that it wrote all of it,
+//! see [`crate::target_run`]. One that has said that it leaves may be gone because it was done, or
+//! because it was killed.
 //!
-//! | framing | content | target | the response is |
+//! | framing | content | run of the target | the response is |
 //! |---|---|---|---|
 //! | any | ends inside an event, or before the first event of a resumption | any | broken |
 //! | none, length, chunks | any other | any | whole |
 //! | connection | ends before the first event of a stream | any | broken |
-//! | connection | any other | accepts connections | whole |
-//! | connection | any other | refuses connections, or has started again | broken |
-//! | connection | any other | not reached | broken |
+//! | connection | any other | present | whole |
+//! | connection | any other | gone | broken |
+//! | connection | any other | unknown | broken |
 //!
 //! A caller is told that a response is whole only if its target told so: one that ends with its
 //! connection is passed on like that. If the caller's part has chunks, as another target began
 //! the stream, its last chunk is written only for a whole response.
 
+use crate::target_run::RunAfter;
 use hyper::{HeaderMap, Method, StatusCode, header};
 
 /// What ends the body of a response.
@@ -75,17 +77,6 @@
     InsideEvent,
 }
 
-/// What is known of a target after a response that ended with its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TargetAfter {
-    /// It accepted a connection.
-    Accepts,
-    /// It refused one, or it has started again since.
-    Gone,
-    /// It was not reached.
-    Unknown,
-}
-
 /// Whether a response that has ended is whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndVerdict {
@@ -96,14 +87,14 @@
 }
 
 /// Returns whether the end of the connection to the target decides whether a response is whole.
-pub fn depends_on_target(framing: Framing, content: ContentEnd) -> bool {
+pub fn depends_on_run(framing: Framing, content: ContentEnd) -> bool {
     framing == Framing::Connection
         && matches!(content, ContentEnd::NotEvents | ContentEnd::AfterEvent)
 }
 
-/// Returns whether a response is whole. `target` matters only if [`depends_on_target`] says so.
-pub fn judge(framing: Framing, content: ContentEnd, target: TargetAfter) -> EndVerdict {
-    match (framing, content, target) {
+/// Returns whether a response is whole. `run` matters only if [`depends_on_run`] says so.
+pub fn judge(framing: Framing, content: ContentEnd, run: RunAfter) -> EndVerdict {
+    match (framing, content, run) {
         (_, ContentEnd::InsideEvent, _) => EndVerdict::Broken("stream ended inside an event"),
         (_, ContentEnd::BeforeResumedEvent, _) => {
             EndVerdict::Broken("stream ended where it was resumed, before an event")
@@ -112,12 +103,12 @@
         (Framing::Connection, ContentEnd::BeforeFirstEvent, _) => {
             EndVerdict::Broken("connection closed before the first event")
         }
-        (Framing::Connection, _, TargetAfter::Accepts) => EndVerdict::Whole,
-        (Framing::Connection, _, TargetAfter::Gone) => {
-            EndVerdict::Broken("connection closed by a target that is gone")
+        (Framing::Connection, _, RunAfter::Present) => EndVerdict::Whole,
+        (Framing::Connection, _, RunAfter::Gone) => {
+            EndVerdict::Broken("connection closed by a run that is gone")
         }
-        (Framing::Connection, _, TargetAfter::Unknown) => {
-            EndVerdict::Broken("connection closed, target not reached")
+        (Framing::Connection, _, RunAfter::Unknown) => {
+            EndVerdict::Broken("connection closed, not known whether the run is there")
         }
     }
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -145,6 +145,8 @@
                 checks_fencing: settings.checks_fencing,
                 leaving: false,
                 version: TargetVersion::default(),
+                started_unix_ms: None,
+                identity_path: None,
             };
             Announcer::spawn(agent, announcement)
         });
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -3,7 +3,8 @@
 
 use super::{Announcer, FaultKind, FaultSwitch, json};
 use crate::{
-    agent::{Announcement, REQUEST_ID_HEADER},
+    agent::{Announcement, REQUEST_ID_HEADER, STARTED_HEADER},
+    control::replica::unix_ms,
     units::*,
 };
 use bytes::Bytes;
@@ -23,6 +24,9 @@
 };
 use tokio::net::TcpListener;
 
+/// Path at which it tells when it started.
+const IDENTITY_PATH: &str = "/started";
+
 /// Configuration of a stand-in plain service.
 #[derive(Clone, Debug)]
 pub struct PlainServiceSettings {
@@ -42,6 +46,7 @@
 
 #[derive(Default)]
 struct Shared {
+    started_unix_ms: u64,
     delay_ms: u64,
     break_every: u64,
     answered: AtomicU64,
@@ -66,6 +71,7 @@
     pub async fn bind(settings: PlainServiceSettings) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.listen).await?;
         let address = listener.local_addr()?;
+        let started_unix_ms = unix_ms();
         let announcer = settings.announce.map(|agent| {
             let announcement = Announcement {
                 service: settings.service.clone(),
@@ -76,11 +82,14 @@
                 checks_fencing: false,
                 leaving: false,
                 version: TargetVersion::default(),
+                started_unix_ms: Some(started_unix_ms),
+                identity_path: Some(IDENTITY_PATH.into()),
             };
             Announcer::spawn(agent, announcement)
         });
         let (delay_ms, break_every) = (settings.delay_ms, settings.break_every);
         let shared = Arc::new(Shared {
+            started_unix_ms,
             delay_ms,
             break_every,
             ..Shared::default()
@@ -158,6 +167,12 @@
                     &json!({"by_key": by_key, "by_request": by_request}),
                 )
             }
+            (Method::GET, IDENTITY_PATH) => {
+                let mut response = json(StatusCode::OK, &json!({}));
+                let headers = response.headers_mut();
+                headers.insert(STARTED_HEADER, self.started_unix_ms.into());
+                response
+            }
             (Method::PUT, "/fault") => {
                 let body = request.into_body().collect().await;
                 let body = body.map(http_body_util::Collected::to_bytes);
--- a/tests/response_end.rs
+++ b/tests/response_end.rs
@@ -1,7 +1,8 @@
 //! Whether a response that has ended is whole.
 
-use guavacove::response_end::{
-    ContentEnd, EndVerdict, Framing, TargetAfter, depends_on_target, judge,
+use guavacove::{
+    response_end::{ContentEnd, EndVerdict, Framing, depends_on_run, judge},
+    target_run::RunAfter,
 };
 use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
 
@@ -9,8 +10,8 @@
 fn a_response_is_whole_only_if_its_framing_or_its_target_shows_it() {
     use ContentEnd::{AfterEvent, BeforeFirstEvent, BeforeResumedEvent, InsideEvent, NotEvents};
     use Framing::{Chunks, Connection, Length, NoBody};
-    use TargetAfter::{Accepts, Gone, Unknown};
-    // 'w': whole, 'b': broken, for a target that accepts, is gone, is unknown.
+    use RunAfter::{Gone, Present, Unknown};
+    // 'w': whole, 'b': broken, for a run that is present, is gone, is unknown.
     let cases = [
         (NoBody, NotEvents, "www"),
         (Length, NotEvents, "www"),
@@ -30,8 +31,8 @@
         (Connection, InsideEvent, "bbb"),
     ];
     for (framing, content, expected) in cases {
-        let verdicts: Vec<EndVerdict> = [Accepts, Gone, Unknown]
-            .map(|target| judge(framing, content, target))
+        let verdicts: Vec<EndVerdict> = [Present, Gone, Unknown]
+            .map(|run| judge(framing, content, run))
             .to_vec();
         let letters = verdicts.iter().map(|verdict| match verdict {
             EndVerdict::Whole => 'w',
@@ -40,7 +41,7 @@
         let letters: String = letters.collect();
         assert_eq!(letters, expected, "{framing} {content:?}");
         let differs = verdicts.iter().any(|verdict| *verdict != verdicts[0]);
-        assert_eq!(depends_on_target(framing, content), differs);
+        assert_eq!(depends_on_run(framing, content), differs);
     }
 }
 
--- a/tests/unframed_outcomes.rs
+++ b/tests/unframed_outcomes.rs
@@ -10,7 +10,7 @@
     net::{Shutdown, SocketAddr},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -33,7 +33,9 @@
     Close,
     /// Closes its connections and refuses new ones.
     Crash,
-    /// The same, and has said before that it is leaving.
+    /// The same, and starts again at its address while its agent is frozen.
+    Restart,
+    /// The same as a crash, and has said before that it is leaving.
     Leave,
     /// Has said before that it is leaving, and still accepts connections.
     Stay,
@@ -57,13 +59,25 @@
     Unheard,
 }
 
-async fn answer(mut stream: TcpStream, answer: Answer, crash: Arc<watch::Sender<Crash>>) {
+async fn answer(
+    mut stream: TcpStream,
+    answer: Answer,
+    crash: Arc<watch::Sender<Crash>>,
+    started_unix_ms: u64,
+) {
     let mut request = Vec::new();
     while !request.windows(4).any(|end| end == b"\r\n\r\n") {
         if stream.read_buf(&mut request).await.unwrap_or(0) == 0 {
             return;
         }
     }
+    if request.starts_with(b"GET /started ") {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nguavacove-target-started: {started_unix_ms}\r\ncontent-length: 0\r\n\r\n"
+        );
+        let _ = stream.write_all(head.as_bytes()).await;
+        return;
+    }
     let head = match answer.content_type {
         // Stops inside the head.
         "" => String::new(),
@@ -83,14 +97,16 @@
 }
 
 /// Serves connections until the target crashes; then they are refused.
-async fn serve(listener: TcpListener, script: Answer) {
+async fn serve(mut listener: TcpListener, script: Answer, started_unix_ms: Arc<AtomicU64>) {
+    let address = listener.local_addr().unwrap();
     let crash = Arc::new(watch::Sender::new(Crash::None));
     let mut crashed = crash.subscribe();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    tokio::spawn(answer(stream, script, Arc::clone(&crash)));
+                    let started = started_unix_ms.load(Ordering::Relaxed);
+                    tokio::spawn(answer(stream, script, Arc::clone(&crash), started));
                 }
             }
             _ = crashed.changed() => {
@@ -98,18 +114,31 @@
                 SockRef::from(&listener).shutdown(Shutdown::Both).unwrap();
                 drop(listener);
                 crash.send_replace(Crash::Unheard);
-                return;
+                if !matches!(script.after, After::Restart) {
+                    return;
+                }
+                sleep_ms(300).await;
+                started_unix_ms.fetch_add(1000, Ordering::Relaxed);
+                listener = TcpListener::bind(address).await.unwrap();
+                crashed.mark_unchanged();
             }
         }
     }
 }
 
 /// Announces a target of a service to its agent until the test ends.
-async fn announce(agent: SocketAddr, address: SocketAddr, is_leaving: Arc<AtomicBool>) {
+async fn announce(
+    agent: SocketAddr,
+    address: SocketAddr,
+    is_leaving: Arc<AtomicBool>,
+    started_unix_ms: Arc<AtomicU64>,
+) {
     loop {
         let body = json!({
             "service": "filings", "address": address, "slots": 4,
             "leaving": is_leaving.load(Ordering::Relaxed),
+            "started_unix_ms": started_unix_ms.load(Ordering::Relaxed),
+            "identity_path": "/started",
         });
         let request = hyper::Request::put("/target")
             .header("host", "agent")
@@ -132,9 +161,15 @@
     let agent = Process::spawn(vec!["agent".into(), "--settings".into(), file], log);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(serve(listener, script));
+    let started_unix_ms = Arc::new(AtomicU64::new(1_700_000_000_000));
+    tokio::spawn(serve(listener, script, Arc::clone(&started_unix_ms)));
     let is_leaving = Arc::new(AtomicBool::new(false));
-    tokio::spawn(announce(announced, address, Arc::clone(&is_leaving)));
+    tokio::spawn(announce(
+        announced,
+        address,
+        Arc::clone(&is_leaving),
+        started_unix_ms,
+    ));
     eventually("the target is a member", 15_000, || async {
         let status = system.status();
         let processes = status["processes"].as_array().cloned().unwrap_or_default();
@@ -165,8 +200,17 @@
 
 /// The answer to one request.
 async fn answer_to_a_caller(script: Answer) -> RawAnswer {
-    let (system, _agent, request) = system_with_target(script).await;
-    fetch_raw(system.entries[0].1, &request).await
+    let (system, agent, request) = system_with_target(script).await;
+    let entry = system.entries[0].1;
+    let asking = tokio::spawn(async move { fetch_raw(entry, &request).await });
+    if let After::Restart = script.after {
+        // Before the crash; longer than the target needs to listen again.
+        sleep_ms(150).await;
+        agent.freeze();
+        sleep_ms(1000).await;
+        agent.thaw();
+    }
+    asking.await.unwrap()
 }
 
 /// Guards against a part of an answer that looks whole as the process that passes it on is killed.
@@ -249,6 +293,10 @@
         an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Close, 200, RawEnd::Closed);
     streams_of_crashed_targets_are_broken =>
         an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Crash, 200, RawEnd::Broken);
+    answers_of_targets_that_started_again_are_not_passed_on =>
+        an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Restart, 502, RawEnd::Complete);
+    streams_of_targets_that_started_again_are_broken =>
+        an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Restart, 200, RawEnd::Broken);
     streams_closed_inside_an_event_are_broken =>
         an_answer_claims_no_more_than_its_target(STREAM, HALF_EVENT, After::Close, 200, RawEnd::Broken);
     streams_closed_before_their_first_event_are_broken =>
