Let an entry for an unnamed service take no place from a target

Another writer announced their addresses for a service that no configuration names.

Cause: the directory compared an entry with the holder of its name or address by start time and sequence number alone. The later start won, whatever its service. The same holds for cached targets while there is no leader, for the views of gateways, and for an agent, which took any announcement.

Evidence: the control instance logged "target replaced at its address", i-20 by x-20 of archive9z, and no change of i-20 after that.

Change: `control/precedence.rs` decides at all four places. Of two entries the one for a service that the document names holds, whatever the versions. Nothing is refused at the door: an entry for an unnamed service is kept and listed where nothing holds its place, as the next document may name it. Its draining is acknowledged without a commit. Agents answer 409.

Failed before, with the comparison as it was: an_entry_for_an_unnamed_service_replaces_no_target, a_target_of_a_named_service_takes_its_place_with_its_next_announcement, an_entry_for_an_unnamed_service_yields_to_one_for_a_named_service.

--- a/src/agent/dispatcher.rs
+++ b/src/agent/dispatcher.rs
@@ -12,6 +12,7 @@
     control::{
         command::{GrantId, Outcome},
         members::{ProcessLoad, TargetState},
+        precedence::{NamedServices, Precedence},
     },
     control_view::ControlView,
     link::LinkSender,
@@ -47,6 +48,16 @@
     renewed: Instant,
 }
 
+/// An announcement that takes no place from the target that is announced.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display(
+    "the service {service} is not in the document in force; the target of {announced} stays announced"
+)]
+pub struct AnnouncedOther {
+    service: ServiceName,
+    announced: ServiceName,
+}
+
 /// Queues, dispatches and delivers the requests of one target.
 pub struct Dispatcher {
     name: TargetName,
@@ -351,7 +362,22 @@
     }
 
     /// Records an announcement of the target and applies its capacity.
-    pub fn apply_announcement(&self, announcement: Announcement) {
+    ///
+    /// # Errors
+    /// Fails if the document does not name its service, and a target of one that it names is
+    /// announced.
+    pub fn apply_announcement(&self, announcement: Announcement) -> Result<(), AnnouncedOther> {
+        let services = NamedServices::of(&self.view.load().policy);
+        if let Some(announced) = self.announced()
+            && services.precedence(&announcement.service, &announced.service) == Precedence::Yields
+        {
+            let error = AnnouncedOther {
+                service: announcement.service,
+                announced: announced.service.clone(),
+            };
+            tracing::warn!("agent: announcement refused: {error}");
+            return Err(error);
+        }
         let capacity = announcement.capacity();
         let leaving = announcement.leaving;
         let target = AnnouncedTarget {
@@ -369,6 +395,7 @@
             decisions
         };
         self.deliver(decisions);
+        Ok(())
     }
 }
 
--- a/src/agent/server.rs
+++ b/src/agent/server.rs
@@ -184,10 +184,10 @@
                     .map_err(|error| error.to_string())
             });
             match parsed {
-                Ok(announcement) => {
-                    dispatcher.apply_announcement(announcement);
-                    (StatusCode::OK, "announced\n".to_string())
-                }
+                Ok(announcement) => match dispatcher.apply_announcement(announcement) {
+                    Ok(()) => (StatusCode::OK, "announced\n".to_string()),
+                    Err(error) => (StatusCode::CONFLICT, format!("{error}\n")),
+                },
                 Err(error) => (
                     StatusCode::BAD_REQUEST,
                     format!("not an announcement: {error}\n"),
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -5,6 +5,9 @@
 //! stays leaving. A withdrawn target leaves a tombstone, so that announcements sent before the
 //! withdrawal do not restore it.
 //!
+//! An entry for a service that the document in force does not name takes no place from a target, see
+//! [`super::precedence`].
+//!
 //! Another writer may announce a target under its name with a start time or a sequence number that
 //! the target never reaches. Once that entry is no longer listed, because its lease has expired or
 //! a later start holds its address, the target is listed with its second announcement; a single
@@ -12,6 +15,7 @@
 
 use super::{
     departures::{Departure, Standing},
+    precedence::{NamedServices, Precedence},
     table::{Changes, Position, Table},
 };
 use crate::{derives::record, request_limit::RequestLimit, units::*};
@@ -167,19 +171,22 @@
 /// The changes of the directory since a reader's position.
 pub type TargetChanges = Changes<TargetName, TargetEntry>;
 
-/// Removes targets whose address a later start has taken over.
-pub fn remove_replaced(targets: &mut BTreeMap<TargetName, TargetEntry>) {
-    let mut latest: HashMap<SocketAddr, u64> = HashMap::with_capacity(targets.len());
+/// Removes targets whose address another one has taken over: of the named services, the latest start
+/// holds an address.
+pub fn remove_replaced(targets: &mut BTreeMap<TargetName, TargetEntry>, services: &NamedServices) {
+    let rank = |target: &TargetEntry| (services.contains(&target.service), target.started_unix_ms);
+    let mut highest: HashMap<SocketAddr, (bool, u64)> = HashMap::with_capacity(targets.len());
     for target in targets.values() {
-        let started = latest.entry(target.address).or_default();
-        *started = target.started_unix_ms.max(*started);
+        let known = highest.entry(target.address).or_default();
+        *known = rank(target).max(*known);
     }
-    targets.retain(|_, target| latest[&target.address] <= target.started_unix_ms);
+    targets.retain(|_, target| highest[&target.address] <= rank(target));
 }
 
 /// The directory of one leadership.
 #[derive(Default)]
 pub struct Directory {
+    services: NamedServices,
     table: Table<TargetName, TargetEntry>,
     by_address: HashMap<SocketAddr, TargetName>,
     latest_versions: BTreeMap<TargetName, AnnouncementVersion>,
@@ -203,6 +210,35 @@
         directory
     }
 
+    /// Sets the services that the document in force names.
+    pub fn set_services(&mut self, services: NamedServices) {
+        self.services = services;
+    }
+
+    /// Returns whether the document in force names the service of an entry.
+    pub fn names_service_of(&self, entry: &TargetEntry) -> bool {
+        self.services.contains(&entry.service)
+    }
+
+    /// Returns how an entry stands to the holders of its name and of its address.
+    fn precedence(&self, entry: &TargetEntry) -> [Precedence; 2] {
+        let at_address = self.by_address.get(&entry.address);
+        let at_address = at_address.filter(|name| **name != entry.name);
+        [Some(&entry.name), at_address].map(|name| {
+            let holder = name.and_then(|name| self.table.get(name));
+            let by_version = Precedence::ByVersion;
+            holder.map_or(by_version, |holder| {
+                self.services.precedence(&entry.service, &holder.service)
+            })
+        })
+    }
+
+    /// Returns whether an entry changes nothing, as a target of a named service holds its name or its
+    /// address.
+    pub fn yields(&self, entry: &TargetEntry) -> bool {
+        self.precedence(entry).contains(&Precedence::Yields)
+    }
+
     /// Every target with its latest sequence number, for [`Self::from_announcements`].
     pub fn announcements(&self) -> Vec<TargetAnnouncement> {
         let sequence = |name| {
@@ -232,7 +268,12 @@
         if self.late_until.contains_key(&entry.name) {
             return false;
         }
+        if self.yields(&entry) {
+            return false;
+        }
+        let [for_name, for_address] = self.precedence(&entry);
         let known = self.latest_versions.get(&entry.name);
+        let known = known.filter(|_| for_name == Precedence::ByVersion);
         let is_repeated = known == Some(&version);
         if known.is_some_and(|known| version <= *known)
             && (is_repeated || !self.is_second_while_unlisted(&entry.name, version))
@@ -252,7 +293,10 @@
         let at_address = at_address.filter(|name| **name != entry.name);
         let at_address = at_address.and_then(|name| self.table.get(name));
         match at_address.map(|other| (other.name.clone(), other.started_unix_ms)) {
-            Some((_, started_unix_ms)) if started_unix_ms > entry.started_unix_ms => {
+            Some((_, started_unix_ms))
+                if for_address == Precedence::ByVersion
+                    && started_unix_ms > entry.started_unix_ms =>
+            {
                 self.add_tombstone(entry.name.clone(), version);
                 self.unlisted.insert(entry.name, None);
                 return false;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 pub mod members;
 pub mod orders;
 pub mod peers;
+pub mod precedence;
 pub mod quota_server;
 pub mod replica;
 pub mod rollouts;
--- a/src/control/replica/cache.rs
+++ b/src/control/replica/cache.rs
@@ -6,7 +6,17 @@
     /// Caches a target's announcement while there is no leader; returns whether the cache
     /// changed.
     pub(super) fn cache_target(&mut self, announcement: TargetAnnouncement) -> bool {
-        let is_changed = self.core.leader().is_none() && self.cache.replace_restarted(announcement);
+        if self.core.leader().is_some() {
+            return false;
+        }
+        // Until the document is compiled, only a target of the same service is replaced.
+        self.compile_document();
+        let is_compiled = self.policy_version == self.control.document().version;
+        let services = match is_compiled {
+            true => NamedServices::of(&self.policy),
+            false => NamedServices::from_iter([]),
+        };
+        let is_changed = self.cache.replace_restarted(announcement, &services);
         self.cache_changed |= is_changed;
         is_changed
     }
--- a/src/control/replica/in_force.rs
+++ b/src/control/replica/in_force.rs
@@ -96,7 +96,7 @@
         self.depart(departure.unwrap_or_else(unknown), sender)
     }
 
-    fn hold_departure(&mut self, target: TargetName, sender: ReplySender<()>) {
+    pub(super) fn hold_departure(&mut self, target: TargetName, sender: ReplySender<()>) {
         let known = (self.directory.revision(), self.now_ms());
         let departed = self.departed.entry(target.clone());
         let (revision, known_ms) = *departed.or_insert(known);
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -83,6 +83,7 @@
         self.directory_complete = false;
         self.members = ProcessTable::default();
         self.directory = Directory::from_announcements(self.cache.targets.clone(), now_ms);
+        self.directory.set_services(NamedServices::of(&self.policy));
         for departure in self.control.departures().iter() {
             self.directory.apply_departure(departure);
         }
@@ -192,9 +193,27 @@
             let _ = sender.send(Err(error));
             return Ok(());
         }
+        if self.directory.yields(&announcement.entry) {
+            let TargetEntry {
+                name,
+                service,
+                address,
+                ..
+            } = &announcement.entry;
+            metrics::control_yielding_announcement();
+            tracing::info!(
+                target = %name, %service, %address,
+                "control: announcement ignored, its service is not in the document"
+            );
+            drop(sender.send(Ok(())));
+            return Ok(());
+        }
         let departure = announcement.departure();
+        let is_named = self.directory.names_service_of(&announcement.entry);
         self.announce(announcement);
         match departure {
+            // Nothing is sent to it, and another writer may name any number of such targets.
+            Some(departure) if !is_named => self.hold_departure(departure.target, sender),
             Some(departure) if !self.directory.has_departed(&departure.target) => {
                 tracing::warn!(
                     target = %departure.target,
@@ -342,7 +361,7 @@
 
     /// Compiles the document in force on another thread: a long one takes so long that the lease
     /// would expire meanwhile.
-    fn compile_document(&mut self) {
+    pub(super) fn compile_document(&mut self) {
         let document = self.control.document();
         if self.compiling_version == document.version {
             return;
@@ -374,6 +393,7 @@
         self.policy_version = version;
         if let Some(policy) = policy {
             self.quota_server.set_policy(Arc::clone(&policy));
+            self.directory.set_services(NamedServices::of(&policy));
             self.policy = policy;
         }
         self.start_pending_rollouts();
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -7,6 +7,7 @@
     limits::{LimitGrant, LimitWant},
     members::*,
     orders::{Order, TargetOrders},
+    precedence::NamedServices,
     rollouts::RolloutOrder,
     roster::InstanceAddresses,
     shares::{Demand, Shares},
@@ -242,14 +243,22 @@
         is_changed
     }
 
-    /// Replaces a target that has restarted at its known address, while there is no leader;
-    /// returns whether it did. The announcement is not acknowledged, so the target repeats it. Any
+    /// Replaces a target that has restarted at its known address, while there is no leader, by one of
+    /// the same or of a named service; returns whether it did. The announcement is not acknowledged, so the target repeats it. Any
     /// other announcement is ignored: only leaders know which targets have withdrawn or are
     /// draining.
-    pub fn replace_restarted(&mut self, announcement: TargetAnnouncement) -> bool {
+    pub fn replace_restarted(
+        &mut self,
+        announcement: TargetAnnouncement,
+        services: &NamedServices,
+    ) -> bool {
+        let entry = &announcement.entry;
         let replaced = self.targets.iter_mut().find(|known| {
-            known.entry.address == announcement.entry.address
-                && known.entry.started_unix_ms < announcement.entry.started_unix_ms
+            let is_of_service =
+                known.entry.service == entry.service || services.contains(&entry.service);
+            is_of_service
+                && known.entry.address == entry.address
+                && known.entry.started_unix_ms < entry.started_unix_ms
         });
         match replaced {
             Some(replaced) => {
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -16,6 +16,7 @@
         directory::{LimitReport, TargetChanges, TargetEntry, TargetsPosition, remove_replaced},
         members::*,
         orders::TargetOrders,
+        precedence::NamedServices,
         rpc::*,
         shares::{Demand, LOCAL_SHARE_LEASE_MS, Shares},
         state::AcceptedDocument,
@@ -743,7 +744,7 @@
         });
         targets.extend(present);
         if changes.whole {
-            remove_replaced(&mut targets);
+            remove_replaced(&mut targets, &NamedServices::of(&view.policy));
         }
         log_targets(&view.targets, &targets, &changes.seen);
         view.targets = Arc::new(targets);
--- a/src/document.rs
+++ b/src/document.rs
@@ -361,6 +361,11 @@
         self.services.get(name)
     }
 
+    /// Names of all services.
+    pub fn service_names(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
     /// The longest timeout of the routes to a service, in milliseconds.
     pub fn longest_timeout_ms(&self, service: &ServiceName) -> Option<u64> {
         let routes = self.routes.values().flatten();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -286,6 +286,11 @@
     "guavacove.control.announcements",
     "Announcements of targets taken"
 );
+counter!(
+    CONTROL_YIELDING_ANNOUNCEMENTS,
+    "guavacove.control.yielding_announcements",
+    "Announcements ignored as their service is not in the document and a target of one that is holds the place"
+);
 counter!(
     GATEWAY_CRASHES,
     "guavacove.gateway.crashes",
@@ -583,6 +588,11 @@
     CONTROL_ANNOUNCEMENTS.add(1, &[]);
 }
 
+/// Counts an announcement that is ignored as its service is not in the document.
+pub fn control_yielding_announcement() {
+    CONTROL_YIELDING_ANNOUNCEMENTS.add(1, &[]);
+}
+
 /// Records the duration of a synced write to the log.
 pub fn control_sync(took_ms: u64) {
     CONTROL_SYNC.record(took_ms, &[]);
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -10,6 +10,7 @@
             AnnouncementError, AnnouncementVersion, Directory, TargetAnnouncement, TargetEntry,
             remove_replaced,
         },
+        precedence::{NamedServices, Precedence},
         rpc::CachedState,
         state::ControlState,
     },
@@ -47,6 +48,23 @@
     }
 }
 
+/// An announcement for a service that [`named_services`] does not contain.
+fn foreign(
+    name: &str,
+    started: u64,
+    sequence: u64,
+    leaving: bool,
+    port: u16,
+) -> TargetAnnouncement {
+    let mut announcement = at_port(name, started, sequence, leaving, port);
+    announcement.entry.service = "archive".into();
+    announcement
+}
+
+fn named_services() -> NamedServices {
+    NamedServices::from_iter(["drafts".into()])
+}
+
 fn names(directory: &Directory) -> Vec<(String, bool)> {
     let targets = directory.targets();
     targets.into_iter().map(|t| (t.name.0, t.leaving)).collect()
@@ -162,21 +180,36 @@
         ],
         ..CachedState::default()
     };
-    assert!(known.replace_restarted(at_port("new-1", 20, 1, false, 7001)));
+    assert!(known.replace_restarted(
+        at_port("new-1", 20, 1, false, 7001),
+        &NamedServices::default()
+    ));
     assert!(
-        !known.replace_restarted(at_port("old-1", 10, 91, false, 7001)),
+        !known.replace_restarted(
+            at_port("old-1", 10, 91, false, 7001),
+            &NamedServices::default()
+        ),
         "late"
     );
     assert!(
-        !known.replace_restarted(at_port("new-1", 20, 2, false, 7001)),
+        !known.replace_restarted(
+            at_port("new-1", 20, 2, false, 7001),
+            &NamedServices::default()
+        ),
         "unchanged"
     );
     assert!(
-        !known.replace_restarted(at_port("old-2", 10, 91, false, 7002)),
+        !known.replace_restarted(
+            at_port("old-2", 10, 91, false, 7002),
+            &NamedServices::default()
+        ),
         "may have left"
     );
     assert!(
-        !known.replace_restarted(at_port("other", 20, 1, false, 7003)),
+        !known.replace_restarted(
+            at_port("other", 20, 1, false, 7003),
+            &NamedServices::default()
+        ),
         "may have withdrawn"
     );
     let known: Vec<&str> = known
@@ -195,7 +228,7 @@
         at_port("other", 5, 1, false, 7002).entry,
     ];
     let mut targets = entries.map(|entry| (entry.name.clone(), entry)).into();
-    remove_replaced(&mut targets);
+    remove_replaced(&mut targets, &NamedServices::default());
     let names: Vec<&str> = targets.keys().map(|name| name.0.as_str()).collect();
     assert_eq!(names, ["new-1", "other"]);
 }
@@ -314,6 +347,88 @@
     assert_eq!(accepted.count(), 1);
 }
 
+#[test]
+fn an_entry_for_an_unnamed_service_yields_to_one_for_a_named_service() {
+    let services = named_services();
+    let precedence =
+        |service: &str, holder: &str| services.precedence(&service.into(), &holder.into());
+    assert_eq!(precedence("drafts", "archive"), Precedence::Holds);
+    assert_eq!(precedence("archive", "drafts"), Precedence::Yields);
+    assert_eq!(precedence("drafts", "drafts"), Precedence::ByVersion);
+    assert_eq!(precedence("archive", "other"), Precedence::ByVersion);
+    let unknown = NamedServices::default();
+    let precedence = unknown.precedence(&"archive".into(), &"drafts".into());
+    assert_eq!(precedence, Precedence::ByVersion);
+}
+
+/// Guards against a target that is replaced by an entry for a service that the document does not
+/// name, under its name or at its address (review case 10).
+#[test]
+fn an_entry_for_an_unnamed_service_replaces_no_target() {
+    for other in [
+        foreign("x", 20, 1, false, 7000),
+        foreign("x", 20, 1, true, 7000),
+        foreign("t", 20, 1, false, 9000),
+        foreign("t", 20, 1, true, 7000),
+        foreign("t", 10, 9, true, 7000),
+    ] {
+        let mut directory = Directory::default();
+        directory.set_services(named_services());
+        directory.announce(announcement("t", 10, 1, false), 0);
+        for repeated in 0..3 {
+            assert!(directory.yields(&other.entry), "{other:?}");
+            assert!(!directory.announce(other.clone(), 10 + repeated));
+        }
+        directory.announce(announcement("t", 10, 2, false), 20);
+        assert_eq!(names(&directory), [("t".into(), false)], "{other:?}");
+        let cached = directory.announcements();
+        let mut known = CachedState {
+            targets: cached,
+            ..CachedState::default()
+        };
+        assert!(!known.replace_restarted(other, &named_services()));
+    }
+}
+
+/// Guards against the same by an entry that came before the document was known.
+#[test]
+fn a_target_of_a_named_service_takes_its_place_with_its_next_announcement() {
+    for other in [
+        foreign("x", 20, 1, false, 7000),
+        foreign("t", 20, 9, true, 9000),
+    ] {
+        let mut directory = Directory::default();
+        directory.announce(announcement("t", 10, 1, false), 0);
+        directory.announce(other.clone(), 10);
+        directory.set_services(named_services());
+        assert!(directory.announce(announcement("t", 10, 2, false), 20));
+        assert_eq!(names(&directory), [("t".into(), false)], "{other:?}");
+    }
+}
+
+/// Guards against a target that stays away after its service was dropped and named again.
+#[test]
+fn a_target_stays_listed_while_its_service_is_not_named() {
+    let mut directory = Directory::default();
+    directory.announce(announcement("t", 10, 1, false), 0);
+    directory.set_services(NamedServices::from_iter(["other".into()]));
+    directory.announce(announcement("t", 10, 2, false), 20);
+    directory.set_services(named_services());
+    assert_eq!(names(&directory), [("t".into(), false)]);
+}
+
+#[test]
+fn a_view_keeps_the_target_of_a_named_service_at_an_address() {
+    let entries = [
+        at_port("t", 10, 1, false, 7000),
+        foreign("x", 20, 1, false, 7000),
+    ];
+    let entries = entries.map(|announcement| announcement.entry);
+    let mut targets = entries.map(|entry| (entry.name.clone(), entry)).into();
+    remove_replaced(&mut targets, &named_services());
+    assert_eq!(targets.into_keys().collect::<Vec<_>>(), ["t".into()]);
+}
+
 macro_rules! announcements {
     ($($name:ident: $change:expr => $result:expr;)*) => {
         $(
