List a run again that goes on announcing itself after a withdrawal

Each target had withdrawn and started again under its name; a withdrawal that the network held up arrived after that.

Cause: a withdrawal names no run. The leader applied it to the latest run that it knew, committed a departure and left a tombstone with the highest sequence number, which nothing that the run says can end.

Evidence: the control instance logged the withdrawal, the later run 0.7 s after it, and the second withdrawal 2.3 s after that; no change of the target followed.

The return is committed and ends the departures that bind the run, at all instances. A real withdrawal is obeyed at once, as before, and late announcements list nothing. Views of processes no longer keep what they heard of departures against a leader's complete directory.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -1,7 +1,7 @@
 //! Commands of the replicated state machine, and their replies.
 
 use super::{
-    departures::Departure,
+    departures::{Departure, Return},
     orders::Order,
     rollouts::{RolloutAdvance, RolloutStart},
 };
@@ -145,6 +145,8 @@
         StartRollout(RolloutStart),
         /// Changes the stage of a rollout.
         AdvanceRollout(RolloutAdvance),
+        /// Records that a run of a target is there although it counted as leaving or as gone.
+        Return(Return),
     }
 
     /// The reply to a command.
--- a/src/control/departures.rs
+++ b/src/control/departures.rs
@@ -43,6 +43,14 @@
     #[derive(Default)]
     pub struct Departures(VecDeque<Departure>);
 
+    /// A run that is there although a departure says that it leaves or has withdrawn.
+    pub struct Return {
+        /// The target.
+        pub target: TargetName,
+        /// The latest announcement of the run.
+        pub version: AnnouncementVersion,
+    }
+
     /// What a departure makes of a run of its target.
     #[derive(Copy)]
     pub enum Standing {
@@ -71,6 +79,11 @@
         self.version == UNKNOWN_RUN
     }
 
+    fn is_ended_by(&self, back: &Return) -> bool {
+        self.target == back.target
+            && self.standing(back.version.started_unix_ms) != Standing::Serving
+    }
+
     /// The standing of a run of this target.
     pub fn standing(&self, started_unix_ms: u64) -> Standing {
         match started_unix_ms <= self.version.started_unix_ms {
@@ -96,6 +109,11 @@
         }
     }
 
+    /// Forgets the departure that a return ends: of that run or, by another writer, of a later one.
+    pub fn forget(&mut self, back: &Return) {
+        self.0.retain(|known| !known.is_ended_by(back));
+    }
+
     /// Whether the departure of that run is recorded.
     pub fn covers(&self, departure: &Departure) -> bool {
         if departure.is_of_unknown_run() {
@@ -133,6 +151,22 @@
         }
     }
 
+    /// Forgets the departure that a return ends.
+    pub fn forget(&mut self, back: &Return) {
+        self.0.retain(|(_, known)| !known.is_ended_by(back));
+    }
+
+    /// Returns whether a run of this target has withdrawn within [`LATE_MS`] that began before this
+    /// one.
+    pub fn has_earlier_withdrawal(&self, departure: &Departure, now_ms: u64) -> bool {
+        self.0.iter().any(|(at_ms, known)| {
+            known.target == departure.target
+                && known.has_withdrawn
+                && known.version.started_unix_ms < departure.version.started_unix_ms
+                && now_ms < at_ms + LATE_MS
+        })
+    }
+
     /// The targets of unknown runs that have withdrawn, each with the time until which its
     /// announcements count as late.
     pub fn late_until(&self, now_ms: u64) -> impl Iterator<Item = (&TargetName, u64)> {
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -14,13 +14,14 @@
 //! late one restores nothing.
 
 use super::{
-    departures::{Departure, Standing},
+    departures::{Departure, Return, Standing},
     precedence::{NamedServices, Precedence},
+    return_evidence::{REPEATED_RETURN_MS, RETURN_MS, ReturnEvidence},
     table::{Changes, Position, Table},
 };
 use crate::{derives::record, request_limit::RequestLimit, units::*};
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::{IpAddr, Ipv4Addr, SocketAddr},
 };
 
@@ -33,6 +34,8 @@
 pub const LEASE_INTERVALS: u64 = 5;
 /// Maximum number of tombstones of withdrawn and replaced targets.
 const MAX_TOMBSTONES: usize = 4096;
+/// Maximum number of targets of which announcements are kept that may show that they are there.
+const MAX_RETURNING: usize = 1024;
 /// Longest name of a target, a service or a failure domain, in bytes.
 const MAX_NAME_BYTES: usize = 255;
 /// Latest start time that is accepted, in Unix milliseconds: the end of the year 9999. A later one
@@ -124,14 +127,19 @@
 }
 
 impl TargetAnnouncement {
+    /// Its version.
+    pub fn version(&self) -> AnnouncementVersion {
+        AnnouncementVersion {
+            started_unix_ms: self.entry.started_unix_ms,
+            sequence: self.sequence,
+        }
+    }
+
     /// The departure that it announces, if it does.
     pub fn departure(&self) -> Option<Departure> {
         self.entry.leaving.then(|| Departure {
             target: self.entry.name.clone(),
-            version: AnnouncementVersion {
-                started_unix_ms: self.entry.started_unix_ms,
-                sequence: self.sequence,
-            },
+            version: self.version(),
             has_withdrawn: false,
         })
     }
@@ -197,6 +205,12 @@
     /// as late ones.
     late_until: BTreeMap<TargetName, u64>,
     tombstones: VecDeque<TargetName>,
+    /// Announcements of runs that count as leaving or as gone.
+    returning: BTreeMap<TargetName, ReturnEvidence>,
+    /// Targets whose last withdrawal is probably the repetition of an earlier run's.
+    repeated_withdrawals: BTreeSet<TargetName>,
+    /// Runs that have been shown to be there.
+    returns: Vec<Return>,
 }
 
 impl Directory {
@@ -256,14 +270,11 @@
 
     /// Applies an announcement; returns whether the published entries changed.
     pub fn announce(&mut self, announcement: TargetAnnouncement, now_ms: u64) -> bool {
+        let version = announcement.version();
         let TargetAnnouncement {
             mut entry,
             sequence,
         } = announcement;
-        let version = AnnouncementVersion {
-            started_unix_ms: entry.started_unix_ms,
-            sequence,
-        };
         self.late_until.retain(|_, until_ms| now_ms < *until_ms);
         if self.late_until.contains_key(&entry.name) {
             return false;
@@ -287,6 +298,7 @@
                 self.table
                     .update(&entry.name, |listed| listed.leaving = true);
             }
+            self.hear_departed(TargetAnnouncement { entry, sequence }, now_ms);
             return begins_to_leave;
         }
         let at_address = self.by_address.get(&entry.address);
@@ -312,6 +324,18 @@
             }
             None => {}
         }
+        if let Some(known) = self.table.get(&entry.name)
+            && known.started_unix_ms == entry.started_unix_ms
+        {
+            let (is_leaving, own) = (known.leaving, entry.clone());
+            if is_leaving {
+                let announcement = TargetAnnouncement {
+                    entry: own,
+                    sequence,
+                };
+                self.hear_departed(announcement, now_ms);
+            }
+        }
         if let Some(known) = self.table.get(&entry.name)
             && known.started_unix_ms == entry.started_unix_ms
         {
@@ -322,6 +346,10 @@
         }
         self.latest_versions.insert(entry.name.clone(), version);
         self.unlisted.remove(&entry.name);
+        if !entry.leaving {
+            self.returning.remove(&entry.name);
+            self.repeated_withdrawals.remove(&entry.name);
+        }
         self.index_address(&entry);
         self.table.put(entry.name.clone(), entry, now_ms)
     }
@@ -342,6 +370,72 @@
         is_second
     }
 
+    /// Notes an announcement of a run that does not serve, although it says that it does.
+    fn hear_departed(&mut self, announcement: TargetAnnouncement, now_ms: u64) {
+        let name = announcement.entry.name.clone();
+        let is_yet_to_come = self.unlisted.contains_key(&name);
+        if announcement.entry.leaving || is_yet_to_come || !self.has_departed(&name) {
+            return;
+        }
+        match self.returning.get_mut(&name) {
+            Some(evidence) => evidence.hear(announcement, now_ms),
+            None => {
+                let evidence = ReturnEvidence::begin(announcement, now_ms);
+                self.returning.insert(name.clone(), evidence);
+            }
+        }
+        let is_repeated = self.repeated_withdrawals.contains(&name);
+        let required_ms = if is_repeated {
+            REPEATED_RETURN_MS
+        } else {
+            RETURN_MS
+        };
+        let evidence = self.returning.get(&name);
+        if let Some(evidence) = evidence.filter(|evidence| evidence.is_proved(required_ms)) {
+            self.returns.push(Return {
+                target: name,
+                version: evidence.version(),
+            });
+        }
+        if self.returning.len() > MAX_RETURNING {
+            let oldest = self.returning.iter().min_by_key(|(_, e)| e.counted_ms());
+            if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+                self.returning.remove(&oldest);
+            }
+        }
+    }
+
+    /// Takes the runs that have been shown to be there, although they count as leaving or gone.
+    pub fn take_returns(&mut self) -> Vec<Return> {
+        std::mem::take(&mut self.returns)
+    }
+
+    /// Lists a run again that has been shown to be there; returns whether the published entries
+    /// changed.
+    pub fn apply_return(&mut self, back: &Return, now_ms: u64) -> bool {
+        let target = &back.target;
+        if !self.has_departed(target) {
+            return false;
+        }
+        let is_removed = self.remove_entry(target);
+        self.late_until.remove(target);
+        self.unlisted.remove(target);
+        self.repeated_withdrawals.remove(target);
+        let earlier = AnnouncementVersion {
+            sequence: back.version.sequence.saturating_sub(1),
+            ..back.version
+        };
+        self.latest_versions.insert(target.clone(), earlier);
+        let evidence = self.returning.remove(target);
+        let announcement = evidence.map(ReturnEvidence::into_announcement);
+        is_removed | announcement.is_some_and(|announcement| self.announce(announcement, now_ms))
+    }
+
+    /// Notes that the last withdrawal of a target is probably the repetition of an earlier run's.
+    pub fn record_repeated_withdrawal(&mut self, target: &TargetName) {
+        self.repeated_withdrawals.insert(target.clone());
+    }
+
     /// Takes over a limit that a gateway reports; returns whether it was news.
     pub fn report_limit(&mut self, report: &LimitReport) -> bool {
         let known = self.table.get(&report.target);
@@ -491,6 +585,8 @@
             {
                 self.latest_versions.remove(&oldest);
                 self.unlisted.remove(&oldest);
+                self.returning.remove(&oldest);
+                self.repeated_withdrawals.remove(&oldest);
             }
         }
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -21,6 +21,7 @@
 pub mod precedence;
 pub mod quota_server;
 pub mod replica;
+pub mod return_evidence;
 pub mod rollouts;
 pub mod roster;
 pub mod rpc;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -12,7 +12,7 @@
 use super::{
     acknowledgements::{Acknowledgements, Awaited, Due, Progress},
     command::{Command, Reply},
-    departures::{Departure, LATE_MS, RecentDepartures},
+    departures::{Departure, LATE_MS, RecentDepartures, Return},
     directory::{self, Directory, LimitReport, TargetAnnouncement, TargetEntry},
     limits::{LimitGrant, LimitWant, Limits},
     members::{MEMBER_LEASE_MS, MEMBERS_REBUILD_MS, ProcessRole, ProcessStatus, ProcessTable},
@@ -141,11 +141,14 @@
     Caller(ReplySender<Reply>),
     /// A target that leaves.
     Target(TargetName, ReplySender<()>),
+    /// The leader itself.
+    Leader,
 }
 
 impl Proposer {
     fn fail(self, error: &ControlError) {
         match self {
+            Self::Leader => tracing::info!(%error, "control: own command not committed"),
             Self::Caller(sender) => drop(sender.send(Err(error.clone()))),
             Self::Target(_, sender) => drop(sender.send(Err(error.clone()))),
         }
@@ -270,6 +273,8 @@
     /// The targets that have left in this term: the revision of the directory that says so, and
     /// when it became known here.
     departed: BTreeMap<TargetName, (u64, u64)>,
+    /// Targets of which a return is proposed and not yet committed.
+    proposed_returns: BTreeSet<TargetName>,
     /// The committed departures, by when this instance learned of them.
     recent_departures: RecentDepartures,
     /// The revision of this term's directory that each gateway has.
@@ -385,6 +390,7 @@
             acknowledgements: Acknowledgements::default(),
             documents_known_ms: BTreeMap::new(),
             departed: BTreeMap::new(),
+            proposed_returns: BTreeSet::new(),
             recent_departures,
             directory_seen: BTreeMap::new(),
             members: ProcessTable::default(),
@@ -578,9 +584,10 @@
             Payload::Noop | Payload::Membership(_) => None,
         };
         let is_order = matches!(command, Some(Command::Order { .. }));
-        let departure = match &command {
-            Some(Command::Depart(departure)) => Some(departure.clone()),
-            _ => None,
+        let (departure, back) = match &command {
+            Some(Command::Depart(departure)) => (Some(departure.clone()), None),
+            Some(Command::Return(back)) => (None, Some(back.clone())),
+            _ => (None, None),
         };
         let service = rollouts::service_of(command.as_ref());
         let revision = self.control.rollouts().revision();
@@ -589,6 +596,9 @@
         if let Some(departure) = departure {
             self.apply_departure(&departure);
         }
+        if let Some(back) = back {
+            self.apply_return(&back);
+        }
         self.record_document();
         match (self.pending_proposals.remove(&entry.index), reply) {
             (Some((term, proposer)), Some(reply)) if term == entry.term => {
--- a/src/control/replica/in_force.rs
+++ b/src/control/replica/in_force.rs
@@ -37,6 +37,7 @@
             }
             (Proposer::Caller(sender), reply) => drop(sender.send(Ok(reply))),
             (Proposer::Target(target, sender), _) => self.hold_departure(target, sender),
+            (Proposer::Leader, _) => {}
         }
     }
 
@@ -48,7 +49,10 @@
         sender: ReplySender<()>,
     ) -> Result<(), ActorProcessingErr> {
         let target = departure.target.clone();
-        match self.control.departures().covers(&departure) {
+        // A return that is committed next ends what is recorded now.
+        let is_covered = self.control.departures().covers(&departure)
+            && !self.proposed_returns.contains(&target);
+        match is_covered {
             true => {
                 self.hold_departure(target, sender);
                 Ok(())
@@ -75,7 +79,38 @@
         }
     }
 
-    /// Removes a target from the directory for good.
+    /// Proposes the returns of runs that have been shown to be there.
+    pub(super) fn propose_returns(&mut self) -> Result<(), ActorProcessingErr> {
+        for back in self.directory.take_returns() {
+            if self.proposed_returns.insert(back.target.clone()) {
+                self.propose(Command::Return(back), Proposer::Leader)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Applies a committed return of a run.
+    pub(super) fn apply_return(&mut self, back: &Return) {
+        let now_ms = self.now_ms();
+        self.proposed_returns.remove(&back.target);
+        self.recent_departures.forget(back);
+        let has_tables = self.leader_term == self.core.term();
+        if !has_tables || self.core.role() != RoleName::Leader {
+            return;
+        }
+        self.departed.remove(&back.target);
+        if self.directory.apply_return(back, now_ms) {
+            metrics::control_target_returned();
+            tracing::warn!(
+                target = %back.target, started_unix_ms = back.version.started_unix_ms,
+                sequence = back.version.sequence,
+                "control: target counted as leaving or gone, but goes on announcing itself; listed again"
+            );
+            self.has_updates = true;
+        }
+    }
+
+    /// Removes a target from the directory, until the run shows that it is there.
     pub(super) fn withdraw(
         &mut self,
         target: &TargetName,
@@ -89,7 +124,15 @@
         // Gateways may list a target that this leader does not know.
         if !self.departed.contains_key(target) {
             self.directory.withdraw(target);
-            tracing::info!(%target, is_listed, "control: target withdrawn");
+            let is_repeated = departure.as_ref().is_some_and(|departure| {
+                let now_ms = self.now_ms();
+                self.recent_departures
+                    .has_earlier_withdrawal(departure, now_ms)
+            });
+            if is_repeated {
+                self.directory.record_repeated_withdrawal(target);
+            }
+            tracing::info!(%target, is_listed, is_repeated, "control: target withdrawn");
             self.has_updates = true;
         }
         let unknown = || Departure::of_unknown_run(target.clone());
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -91,6 +91,7 @@
             self.directory.withdraw_unknown(target, until_ms);
         }
         self.departed.clear();
+        self.proposed_returns.clear();
         self.directory_seen.clear();
         self.demands = DemandTable::new(self.cache.gateways, now_ms);
         // If no instance has led since this one started, no quota was charged meanwhile.
@@ -211,6 +212,7 @@
         let departure = announcement.departure();
         let is_named = self.directory.names_service_of(&announcement.entry);
         self.announce(announcement);
+        self.propose_returns()?;
         match departure {
             // Nothing is sent to it, and another writer may name any number of such targets.
             Some(departure) if !is_named => self.hold_departure(departure.target, sender),
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -152,6 +152,10 @@
                 self.departures.record(departure);
                 Reply::Done
             }
+            Command::Return(back) => {
+                self.departures.forget(&back);
+                Reply::Done
+            }
             Command::StartRollout(start) => match self.rollouts.start(start) {
                 StartOutcome::Accepted | StartOutcome::Repeated => Reply::Done,
                 StartOutcome::Conflict => Reply::RolloutConflict,
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -98,6 +98,8 @@
     /// was learned.
     departures: BTreeMap<TargetName, Departure>,
     departures_learned_ms: u64,
+    /// Whether they changed targets, so that the leader has to send all of them.
+    departures_changed_targets: bool,
 }
 
 impl View {
@@ -607,7 +609,12 @@
     // Only a leader that replies to a later request is sure to know what was learned. An earlier one,
     // or an instance without a leader, may list targets as they were before they departed.
     match sent_ms.is_some_and(|sent_ms| sent_ms > view.departures_learned_ms) {
-        true => view.departures.clear(),
+        true => {
+            view.departures.clear();
+            if std::mem::take(&mut view.departures_changed_targets) {
+                view.targets_seen = None;
+            }
+        }
         false => {
             let departures = std::mem::take(&mut view.departures);
             apply_departures(view, departures.into_values());
@@ -664,9 +671,11 @@
                 let targets = Arc::make_mut(&mut view.targets);
                 if let Some(target) = targets.get_mut(&departure.target) {
                     target.leaving = true;
+                    view.departures_changed_targets = true;
                 }
             }
             Some((Standing::Withdrawn, _)) => {
+                view.departures_changed_targets = true;
                 Arc::make_mut(&mut view.targets).remove(&departure.target);
             }
         }
@@ -736,7 +745,8 @@
         let is_same_leader = seen.is_some_and(|seen| seen.epoch.0 == changes.seen.epoch.0);
         let before = Arc::clone(&view.targets);
         let present = changes.present.into_iter().map(|mut target| {
-            let known = before.get(&target.name).filter(|_| !is_same_leader);
+            let known = before.get(&target.name);
+            let known = known.filter(|_| !is_same_leader && !is_complete);
             target.leaving |= known.is_some_and(|known| {
                 known.leaving && known.started_unix_ms == target.started_unix_ms
             });
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -286,6 +286,11 @@
     "guavacove.control.announcements",
     "Announcements of targets taken"
 );
+counter!(
+    CONTROL_RETURNS,
+    "guavacove.control.returns",
+    "Targets listed again that counted as leaving or gone and went on announcing themselves"
+);
 counter!(
     CONTROL_YIELDING_ANNOUNCEMENTS,
     "guavacove.control.yielding_announcements",
@@ -588,6 +593,11 @@
     CONTROL_ANNOUNCEMENTS.add(1, &[]);
 }
 
+/// Counts a target that is listed again although it counted as leaving or gone.
+pub fn control_target_returned() {
+    CONTROL_RETURNS.add(1, &[]);
+}
+
 /// Counts an announcement that is ignored as its service is not in the document.
 pub fn control_yielding_announcement() {
     CONTROL_YIELDING_ANNOUNCEMENTS.add(1, &[]);
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -5,12 +5,13 @@
 use guavacove::{
     control::{
         command::{Command, Reply},
-        departures::{Departure, Departures, LATE_MS, RecentDepartures},
+        departures::{Departure, Departures, LATE_MS, RecentDepartures, Return},
         directory::{
             AnnouncementError, AnnouncementVersion, Directory, TargetAnnouncement, TargetEntry,
             remove_replaced,
         },
         precedence::{NamedServices, Precedence},
+        return_evidence::{REPEATED_RETURN_MS, RETURN_MS},
         rpc::CachedState,
         state::ControlState,
     },
@@ -770,3 +771,228 @@
     assert!(recent.within(u64::MAX, 100 + LATE_MS).is_empty());
     assert_eq!(recent.late_until(100 + LATE_MS).count(), 0);
 }
+
+const INTERVAL_MS: u64 = 1200;
+
+/// Applies announcements of run 10 of `t`, one each interval from `from_ms` on, and the returns that
+/// they show. Returns when it was listed as serving, at most `limit_ms` later.
+fn listed_after_ms(directory: &mut Directory, from_ms: u64, limit_ms: u64) -> Option<u64> {
+    let mut times = (from_ms..=from_ms + limit_ms).step_by(INTERVAL_MS as usize);
+    times.find_map(|now_ms| {
+        directory.announce(
+            announcement("t", 10, 100 + now_ms / INTERVAL_MS, false),
+            now_ms,
+        );
+        for back in directory.take_returns() {
+            directory.apply_return(&back, now_ms);
+        }
+        (!directory.has_departed(&"t".into())).then_some(now_ms - from_ms)
+    })
+}
+
+/// Guards against a run that is out of service for as long as it lives, as the withdrawal of an
+/// earlier run arrived late (review case 9).
+#[test]
+fn a_run_that_goes_on_announcing_itself_is_listed_again() {
+    for (is_repeated, required_ms) in [(false, RETURN_MS), (true, REPEATED_RETURN_MS)] {
+        let mut directory = Directory::default();
+        directory.announce(announcement("t", 10, 1, false), 0);
+        directory.withdraw(&"t".into());
+        if is_repeated {
+            directory.record_repeated_withdrawal(&"t".into());
+        }
+        let listed_ms = listed_after_ms(&mut directory, 1200, 20_000);
+        let listed_ms = listed_ms.expect("it is listed");
+        let range = required_ms..=required_ms + 2 * INTERVAL_MS;
+        assert!(range.contains(&listed_ms), "{listed_ms}");
+    }
+}
+
+/// Guards against the same by an entry of another writer that says that the target leaves.
+#[test]
+fn a_run_that_another_writer_drained_is_listed_again() {
+    for (started, sequence, port) in [(10, 50, 7000), (10, 50, 9), (20, 1, 9)] {
+        let mut directory = Directory::default();
+        directory.announce(announcement("t", 10, 1, false), 0);
+        directory.announce(at_port("t", started, sequence, true, port), 10);
+        assert!(directory.has_departed(&"t".into()));
+        let listed_ms = listed_after_ms(&mut directory, 1200, 20_000);
+        assert!(listed_ms.is_some_and(|ms| ms >= RETURN_MS), "{listed_ms:?}");
+        assert_eq!(directory.targets()[0].address.port(), 7000);
+    }
+}
+
+/// Guards against requests to a run that has left: its last announcements may be late.
+#[test]
+fn late_announcements_are_no_return() {
+    // When each arrives after the withdrawal, with the sequence number.
+    let cases: [&[(u64, u64)]; 5] = [
+        &[(100, 2), (101, 3), (102, 4), (103, 5)],
+        &[(100, 2), (5000, 3), (9000, 4)],
+        &[(100, 5), (3000, 4), (6000, 3), (12_000, 2)],
+        &[(100, 2), (9000, 3), (20_000, 4), (31_000, 5)],
+        &[(0, 2), (9000, 3), (9001, 4), (9002, 5)],
+    ];
+    for arrivals in cases {
+        let mut directory = Directory::default();
+        directory.announce(announcement("t", 10, 1, false), 0);
+        directory.withdraw(&"t".into());
+        for (at_ms, sequence) in arrivals {
+            directory.announce(announcement("t", 10, *sequence, false), *at_ms);
+        }
+        assert_eq!(directory.take_returns(), [], "{arrivals:?}");
+    }
+}
+
+/// A return ends the departure of that run and that of a later start by another writer.
+#[test]
+fn a_return_ends_the_departures_that_bind_the_run() {
+    let back = Return {
+        target: "t".into(),
+        version: AnnouncementVersion {
+            started_unix_ms: 5,
+            sequence: 9,
+        },
+    };
+    for (recorded, is_ended) in [
+        (departure(3, 5, true), true),
+        (departure(3, 5, false), true),
+        (departure(1, 7, true), true),
+        (departure(1, 4, true), false),
+    ] {
+        let mut departures = Departures::default();
+        departures.record(recorded.clone());
+        departures.forget(&back);
+        assert_eq!(departures.iter().count() == 0, is_ended, "{recorded:?}");
+        let mut recent = RecentDepartures::default();
+        recent.learn(recorded.clone(), 0);
+        recent.forget(&back);
+        assert_eq!(recent.within(1000, 10).is_empty(), is_ended, "{recorded:?}");
+    }
+}
+
+#[test]
+fn a_withdrawal_soon_after_that_of_an_earlier_run_may_be_its_repetition() {
+    let mut recent = RecentDepartures::default();
+    recent.learn(departure(3, 5, true), 1000);
+    let is_repeated =
+        |started, now_ms| recent.has_earlier_withdrawal(&departure(1, started, true), now_ms);
+    assert!(is_repeated(6, 1000 + LATE_MS - 1));
+    assert!(!is_repeated(6, 1000 + LATE_MS), "calls are late by less");
+    assert!(!is_repeated(5, 1500), "the same run");
+}
+
+/// What happens beside a target that starts once, announces itself and may withdraw.
+#[derive(Clone, Copy, Debug)]
+enum Disturbance {
+    /// Withdrawals of an earlier run.
+    Withdrawal,
+    /// Earlier announcements of the same run, once more.
+    Repeated(u64),
+    /// Entries for a service that is not named, under its name or at its address.
+    Foreign {
+        is_same_name: bool,
+        leaves: bool,
+        started: u64,
+    },
+    /// Entries that say that it leaves.
+    Draining { started: u64 },
+}
+
+impl Arbitrary for Disturbance {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let started = *random.choose(&[5, 10, 20]).unwrap();
+        let (is_same_name, leaves) = (bool::arbitrary(random), bool::arbitrary(random));
+        match u8::arbitrary(random) % 4 {
+            0 => Self::Withdrawal,
+            1 => Self::Repeated(1 + u64::arbitrary(random) % 8),
+            2 => Self::Foreign {
+                is_same_name,
+                leaves,
+                started,
+            },
+            _ => Self::Draining { started },
+        }
+    }
+}
+
+impl Disturbance {
+    fn apply(self, directory: &mut Directory, now_ms: u64) {
+        let sequence = now_ms / INTERVAL_MS + 1;
+        let announced = match self {
+            Self::Withdrawal => {
+                directory.withdraw(&"t".into());
+                return;
+            }
+            Self::Repeated(age) => announcement("t", 10, sequence.saturating_sub(age), false),
+            Self::Foreign {
+                is_same_name: true,
+                leaves,
+                started,
+            } => foreign("t", started, sequence, leaves, 9),
+            Self::Foreign {
+                leaves, started, ..
+            } => foreign("x", started, sequence, leaves, 7000),
+            Self::Draining { started } => at_port("t", started, sequence, true, 9),
+        };
+        directory.announce(announced, now_ms);
+    }
+}
+
+/// Plays disturbances in the first [`DISTURBED`] intervals beside a target that announces itself all
+/// the while. Returns in which intervals it was not listed.
+fn absences(disturbances: &[(u8, Disturbance)], intervals: u64) -> Vec<u64> {
+    let mut directory = Directory::default();
+    directory.set_services(named_services());
+    let mut absences = Vec::new();
+    for interval in 0..intervals {
+        let now_ms = interval * INTERVAL_MS;
+        directory.announce(announcement("t", 10, interval + 1, false), now_ms);
+        directory.expire(5 * INTERVAL_MS, now_ms);
+        for back in directory.take_returns() {
+            directory.apply_return(&back, now_ms);
+        }
+        if directory.has_departed(&"t".into()) {
+            absences.push(interval);
+        }
+        let due = disturbances
+            .iter()
+            .filter(|(at, _)| u64::from(*at) % DISTURBED == interval);
+        due.for_each(|(_, disturbance)| disturbance.apply(&mut directory, now_ms + 100));
+    }
+    absences
+}
+
+const DISTURBED: u64 = 8;
+
+/// Guards against a state that a target which runs and says so cannot leave.
+#[test]
+fn a_target_that_announces_itself_is_listed_in_the_end() {
+    fn holds(disturbances: Vec<(u8, Disturbance)>) -> bool {
+        // The lease of another writer's entry, and the announcements that show a return.
+        let bound = DISTURBED + 5 + RETURN_MS / INTERVAL_MS + 4;
+        absences(&disturbances, bound + 5)
+            .iter()
+            .all(|at| *at < bound)
+    }
+    QuickCheck::new()
+        .tests(2000)
+        .quickcheck(holds as fn(Vec<(u8, Disturbance)>) -> bool);
+}
+
+/// Guards against entries of unnamed services that keep a target away at all.
+#[test]
+fn entries_for_unnamed_services_keep_no_target_away() {
+    fn holds(mut disturbances: Vec<(u8, Disturbance)>) -> bool {
+        disturbances.retain(|(_, disturbance)| {
+            matches!(
+                disturbance,
+                Disturbance::Foreign { .. } | Disturbance::Repeated(_)
+            )
+        });
+        absences(&disturbances, 20).is_empty()
+    }
+    QuickCheck::new()
+        .tests(2000)
+        .quickcheck(holds as fn(Vec<(u8, Disturbance)>) -> bool);
+}
