Take a response with a status outside 200 to 599 for none

Found in the same class: statuses 600 and 999 reached the caller as an answer on both paths, and so did 101, whose caller got a response that ends at once.

Cause: any status that the HTTP client reads was taken for a final response.

Change: `response_head` decides for both paths; other statuses are a failure of the target, which may have run the request.

--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -5,6 +5,7 @@
     control::command::{Outcome, RecordedResponse},
     gateway::events::EventBoundary,
     response_end::{self, ContentEnd, EndVerdict, Framing},
+    response_head,
     target_run::{self, AddressCheck, Listing, RunAfter, RunStatement, TargetRun},
     telemetry,
     units::{RequestId, TargetName},
@@ -256,6 +257,11 @@
                 return Outcome::MayHaveRun;
             }
         };
+    if let Err(error) = response_head::check_status(response.status()) {
+        tracing::warn!("agent: the answer to {request} is none: {error}");
+        buffer.end(Ending::Failed(Verdict::MayHaveRun, Reason::TargetFailed));
+        return Outcome::MayHaveRun;
+    }
     let status = response.status().as_u16();
     let mut framing = Framing::of(&method, response.status(), response.headers());
     let headers = end_to_end_headers(response.headers());
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -28,6 +28,7 @@
     entry::refusal::Refusal,
     metrics,
     response_end::{ContentEnd, EndVerdict, Framing},
+    response_head,
     units::*,
     verdict::{Reason, Verdict},
 };
@@ -474,6 +475,16 @@
         called: Result<(Response<Incoming>, Connection), CallError>,
     ) -> AttemptOutcome {
         let took_ms = clock::boot_ms() - sent_ms;
+        let called = called.and_then(|(response, connection)| {
+            match response_head::check_status(response.status()) {
+                Ok(()) => Ok((response, connection)),
+                Err(error) => Err(CallError {
+                    verdict: Verdict::MayHaveRun,
+                    reason: Reason::TargetFailed,
+                    error: error.to_string(),
+                }),
+            }
+        });
         let (response, connection) = match called {
             Ok(answered) => answered,
             Err(CallError {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod request_limit;
 pub mod request_pace;
 pub mod response_end;
+pub mod response_head;
 pub mod rollout;
 pub mod rounding;
 pub mod scheduling;
--- a/tests/response_end.rs
+++ b/tests/response_end.rs
@@ -2,6 +2,7 @@
 
 use guavacove::{
     response_end::{ContentEnd, EndVerdict, Framing, depends_on_run, judge},
+    response_head::check_status,
     target_run::RunAfter,
 };
 use hyper::{HeaderMap, Method, StatusCode, header::HeaderName};
@@ -98,3 +99,21 @@
         );
     }
 }
+
+/// Guards against bytes that are no answer in the protocol and reach a caller as one.
+#[test]
+fn only_final_statuses_are_passed_on() {
+    for (status, is_final) in [
+        (100, false),
+        (101, false),
+        (199, false),
+        (200, true),
+        (404, true),
+        (599, true),
+        (600, false),
+        (999, false),
+    ] {
+        let status = StatusCode::from_u16(status).unwrap();
+        assert_eq!(check_status(status).is_ok(), is_final, "{status}");
+    }
+}
--- a/tests/unframed_outcomes.rs
+++ b/tests/unframed_outcomes.rs
@@ -41,6 +41,8 @@
     Stay,
     /// Goes on after a long pause.
     Pause,
+    /// Resets the connection, while a long request is still being written.
+    Reset,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -85,6 +87,11 @@
     };
     // Ends with an error when the agent closes the connection first.
     let _ = stream.write_all((head + answer.text).as_bytes()).await;
+    if let After::Reset = answer.after {
+        sleep_ms(60).await;
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        return;
+    }
     sleep_ms(300).await;
     if let After::Pause = answer.after {
         sleep_ms(10_000).await;
@@ -184,9 +191,14 @@
     .await;
     sleep_ms(300).await;
     let key = RequestId::random().to_string();
+    let body = match script.after {
+        After::Reset => "x".repeat(UPLOAD_BYTES),
+        _ => String::new(),
+    };
     let request = format!(
         "POST /services/filings/notices HTTP/1.1\r\nhost: guavacove\r\nauthorization: Bearer \
-         {LEDGERWELL}\r\nidempotency-key: {key}\r\ncontent-length: 0\r\n\r\n"
+         {LEDGERWELL}\r\nidempotency-key: {key}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
     );
     if let After::Leave | After::Stay = script.after {
         let later = Arc::clone(&is_leaving);
@@ -267,8 +279,12 @@
     );
 }
 
+const UPLOAD_BYTES: usize = 3_000_000;
 const STREAM: &str = "text/event-stream";
 const PLAIN: &str = "text/plain";
+const STATUS_000: &str = "HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\nok";
+const STATUS_101: &str = "HTTP/1.1 101 X\r\ncontent-length: 2\r\n\r\nok";
+const STATUS_999: &str = "HTTP/1.1 999 X\r\ncontent-length: 2\r\n\r\nok";
 
 cases! {
     killed_entries_break_streams_off => a_killed_process_breaks_its_answers_off(false);
@@ -281,6 +297,14 @@
     crashes_inside_the_head_are_no_answers =>
         a_stopped_head_is_no_answer("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n", After::Crash);
 
+    status_000_is_no_answer => a_stopped_head_is_no_answer(STATUS_000, After::Close);
+    status_101_is_no_answer => a_stopped_head_is_no_answer(STATUS_101, After::Close);
+    status_999_is_no_answer => a_stopped_head_is_no_answer(STATUS_999, After::Close);
+    parts_before_the_end_of_an_upload_are_not_the_whole =>
+        an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Reset, 502, RawEnd::Complete);
+    parts_of_streams_before_the_end_of_an_upload_are_not_the_whole =>
+        an_answer_claims_no_more_than_its_target(STREAM, EVENTS, After::Reset, 200, RawEnd::Broken);
+
     closed_answers_claim_no_more_than_their_target =>
         an_answer_claims_no_more_than_its_target(PLAIN, "filed", After::Close, 200, RawEnd::Closed);
     answers_of_crashed_targets_are_not_passed_on =>
