Propose a return again that was not committed, and wait less for the directory

A return whose proposal failed without a change of leader was never proposed again, which is a state that a running target cannot leave; seen by reading. It is proposed again after a second. A withdrawal drops what was heard before it. The end of a response waits 300 ms at most, not a second, for a directory that no leader confirms.

--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -529,6 +529,8 @@
 
     /// Removes a target that has withdrawn; returns whether it was present.
     pub fn withdraw(&mut self, name: &TargetName) -> bool {
+        // Announcements from before it tell nothing.
+        self.returning.remove(name);
         let version = self.latest_versions.get(name).copied();
         if self.table.get(name).is_none() {
             self.table.record_removal(name);
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -273,8 +273,8 @@
     /// The targets that have left in this term: the revision of the directory that says so, and
     /// when it became known here.
     departed: BTreeMap<TargetName, (u64, u64)>,
-    /// Targets of which a return is proposed and not yet committed.
-    proposed_returns: BTreeSet<TargetName>,
+    /// Targets of which a return is proposed and not yet committed, and when it was proposed.
+    proposed_returns: BTreeMap<TargetName, u64>,
     /// The committed departures, by when this instance learned of them.
     recent_departures: RecentDepartures,
     /// The revision of this term's directory that each gateway has.
@@ -390,7 +390,7 @@
             acknowledgements: Acknowledgements::default(),
             documents_known_ms: BTreeMap::new(),
             departed: BTreeMap::new(),
-            proposed_returns: BTreeSet::new(),
+            proposed_returns: BTreeMap::new(),
             recent_departures,
             directory_seen: BTreeMap::new(),
             members: ProcessTable::default(),
--- a/src/control/replica/in_force.rs
+++ b/src/control/replica/in_force.rs
@@ -7,6 +7,9 @@
 /// Number of targets of which it is kept when their leaving became known.
 const MAX_KNOWN_DEPARTURES: usize = 4096;
 
+/// Time after which a return that is not committed is proposed again.
+const RETURN_RETRY_MS: u64 = 1000;
+
 impl ReplicaState {
     /// Records when the document in force became known.
     pub(super) fn record_document(&mut self) {
@@ -51,7 +54,7 @@
         let target = departure.target.clone();
         // A return that is committed next ends what is recorded now.
         let is_covered = self.control.departures().covers(&departure)
-            && !self.proposed_returns.contains(&target);
+            && !self.proposed_returns.contains_key(&target);
         match is_covered {
             true => {
                 self.hold_departure(target, sender);
@@ -81,8 +84,11 @@
 
     /// Proposes the returns of runs that have been shown to be there.
     pub(super) fn propose_returns(&mut self) -> Result<(), ActorProcessingErr> {
+        let now_ms = self.now_ms();
         for back in self.directory.take_returns() {
-            if self.proposed_returns.insert(back.target.clone()) {
+            let proposed_ms = self.proposed_returns.get(&back.target);
+            if proposed_ms.is_none_or(|at_ms| now_ms >= at_ms + RETURN_RETRY_MS) {
+                self.proposed_returns.insert(back.target.clone(), now_ms);
                 self.propose(Command::Return(back), Proposer::Leader)?;
             }
         }
--- a/src/gateway/run_check.rs
+++ b/src/gateway/run_check.rs
@@ -27,6 +27,8 @@
 /// Age from which the directory is not relied on without a confirmation; a leader confirms it more
 /// often.
 const MAX_DIRECTORY_AGE_MS: u64 = MAX_RENEWAL_AGE_MS;
+/// Maximum time that a response waits for that: a leader that has news replies within round trips.
+const DIRECTORY_WAIT_MS: u64 = 300;
 /// Interval at which the age of the directory is checked.
 const DIRECTORY_POLL_MS: u64 = 10;
 /// Maximum size of an answer.
@@ -68,7 +70,7 @@
     /// freeze of this process it may list the run for which another one has come since.
     async fn wait_for_directory(&self, slot: &SlotGuard) {
         let mut waited_ms = 0;
-        while waited_ms < CHECK_TIMEOUT_MS {
+        while waited_ms < DIRECTORY_WAIT_MS {
             let view_age_ms = self.view.load().age_ms(clock::boot_ms());
             let is_recent = view_age_ms.is_none_or(|age_ms| age_ms <= MAX_DIRECTORY_AGE_MS);
             if is_recent || slot.listing() == Listing::LaterRun {
