--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -352,6 +352,9 @@
         let mut cache: CachedState = storage
             .read_sidecar(CACHED_STATE_SIDECAR)
             .unwrap_or_default();
+        if control.document().version > cache.document.version {
+            cache.document = control.document().clone();
+        }
         cache.apply_departures(control.departures().iter());
         let rollouts = rollouts::RolloutControl::open(&storage, &control, &mut cache.rollouts);
         let mut recent_departures = RecentDepartures::default();
@@ -552,6 +555,7 @@
             for departure in self.control.departures().iter() {
                 self.recent_departures.learn(departure.clone(), now_ms);
             }
+            self.cache_document();
             self.apply_departures_to_cache();
             self.restore_rollouts();
         }
