Choose the document of a start among a majority of the voters, and serve what all agree on

Callers saw requests served by a version older than one that had been acknowledged. A gateway that started without a leader took the cached document of the first instance that answered, its own machine's for the most part, and never learned of instances that this one did not name. And an acknowledged version may be known as committed to the lost leader alone: the others have it in their logs and told of the one before for as long as no leader was elected.

Instances now tell the voters, the newest document known to be committed and the later ones in their logs. A pure module (control_view/document_choice.rs) decides when the replies suffice: an acknowledged document is in the log of some member of each majority. Requests that the documents which may be in force handle differently are answered 503; the others are served. Views that are not confirmed catch up in the same way, so both serving paths have it. Refusing everything until a leader confirms was weighed: it ends service on all gateways that start while a majority restarts. Using the latest logged document was too: it may never be committed, and another one may take its version.

Errors of merging a leader's reply, and replies of earlier leaders, are logged; the version served by is a metric.

--- a/src/consensus/membership.rs
+++ b/src/consensus/membership.rs
@@ -5,6 +5,7 @@
 
 key! {
     /// Identifies one disk of one control instance. A new disk is a new replica.
+    #[derive(Default)]
     pub struct ReplicaId {
         /// Number of the control instance in the settings.
         pub number: u8,
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -141,6 +141,15 @@
         self.discovers && instances.set_discovered(addresses)
     }
 
+    /// Adds discovered instances, if this client discovers instances; returns whether one of them is
+    /// new.
+    pub fn add_discovered(&self, addresses: &[SocketAddr]) -> bool {
+        let mut instances = self.instances.lock().expect("no holder panics");
+        let known = instances.known.iter().map(|instance| instance.address);
+        let all: Vec<SocketAddr> = known.chain(addresses.iter().copied()).collect();
+        self.discovers && instances.set_discovered(&all)
+    }
+
     /// The address of the current instance and an RPC client of it.
     fn client(&self, attempt_ms: u64) -> (SocketAddr, Option<HttpClient>) {
         let mut instances = self.instances.lock().expect("no holder panics");
@@ -181,24 +190,26 @@
         })
     }
 
-    /// Calls every instance concurrently, whether or not it leads; returns the first reply that
-    /// `is_useful` accepts, and an RPC client of its sender.
-    pub async fn call_all<T, F>(
+    /// Calls every instance concurrently, whether or not it leads; returns the replies, each with an
+    /// RPC client of its sender, once they are enough or no other is to come.
+    pub async fn call_until<T, F>(
         &self,
         attempt_ms: u64,
         call: impl Fn(HttpClient) -> F,
-        is_useful: impl Fn(&T) -> bool,
-    ) -> Option<(HttpClient, T)>
+        mut are_enough: impl FnMut(&[(HttpClient, T)]) -> bool,
+    ) -> Vec<(HttpClient, T)>
     where
         F: Future<Output = Result<T, ClientError>>,
     {
         let mut replies = pin!(self.replies(attempt_ms, call));
+        let mut received = Vec::new();
         while let Some((_, client, reply)) = replies.next().await {
-            if is_useful(&reply) {
-                return Some((client, reply));
+            received.push((client, reply));
+            if are_enough(&received) {
+                break;
             }
         }
-        None
+        received
     }
 
     /// Calls every instance concurrently, whether or not it leads, and passes each reply to
--- a/src/control/replica/cache.rs
+++ b/src/control/replica/cache.rs
@@ -2,6 +2,37 @@
 
 use super::*;
 
+/// Maximum number of pending documents that a replica tells of: operators send up to eight
+/// changes at a time.
+const MAX_PENDING_DOCUMENTS: usize = 8;
+
+/// The document that a logged command sets if it is committed.
+fn pending_document(command: &Bytes) -> Option<AcceptedDocument> {
+    let (version, change, yaml) = match postcard::from_bytes(command) {
+        Ok(Command::ApplyHighest { version, yaml, .. }) => (version, None, yaml),
+        Ok(Command::Apply {
+            change,
+            expected,
+            yaml,
+        }) => (
+            DocumentVersion(expected.0.checked_add(1)?),
+            Some(change),
+            yaml,
+        ),
+        Ok(_) => return None,
+        Err(error) => {
+            tracing::warn!(%error, "control: a logged command cannot be read");
+            return None;
+        }
+    };
+    Some(AcceptedDocument {
+        version,
+        change: change.unwrap_or_default(),
+        yaml,
+        source: None,
+    })
+}
+
 impl ReplicaState {
     /// Caches a target's announcement while there is no leader; returns whether the cache
     /// changed.
@@ -42,9 +73,14 @@
             },
             PeekScope::All => self.cache.clone().without_source(),
         };
+        let pending = self.pending_documents();
         PeekReply {
-            version: self.cache.document.version,
+            holding: self.holding(&pending),
             known,
+            pending: match wanted {
+                PeekScope::Version | PeekScope::Targets => Vec::new(),
+                PeekScope::Document | PeekScope::All => pending,
+            },
             control: self.roster.rpc_addresses(self.now_ms()),
         }
     }
@@ -52,13 +88,39 @@
     /// What was committed within `age_ms`.
     pub(super) fn catch_up(&self, age_ms: u64) -> CatchUpReply {
         CatchUpReply {
-            version: self.cache.document.version,
+            holding: self.holding(&self.pending_documents()),
             departures: self.recent_departures.within(age_ms, self.now_ms()),
             rollouts: self.cache.rollouts.clone(),
             leads: self.check_leading().is_ok(),
+            control: self.roster.rpc_addresses(self.now_ms()),
         }
     }
 
+    fn holding(&self, pending: &[AcceptedDocument]) -> DocumentHolding {
+        DocumentHolding {
+            replica: self.core.id(),
+            voters: self.core.membership().voters.clone(),
+            committed: self.cache.document.version,
+            pending: pending.iter().map(|document| document.version).collect(),
+        }
+    }
+
+    /// The latest documents in the log that are newer than the cached one and not known to be
+    /// committed, without the text as operators sent it.
+    fn pending_documents(&self) -> Vec<AcceptedDocument> {
+        let (log, commit_index) = (self.core.log(), self.core.commit_index());
+        let uncommitted = log.entries.iter().rev();
+        let uncommitted = uncommitted.take_while(|entry| entry.index > commit_index);
+        let documents = uncommitted.filter_map(|entry| match &entry.payload {
+            Payload::Command(bytes) => pending_document(bytes),
+            Payload::Noop | Payload::Membership(_) => None,
+        });
+        documents
+            .filter(|document| document.version > self.cache.document.version)
+            .take(MAX_PENDING_DOCUMENTS)
+            .collect()
+    }
+
     /// Caches the document in force, which is committed.
     pub(super) fn cache_document(&mut self) {
         if self.control.document().version > self.cache.document.version {
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -15,6 +15,7 @@
     suspects::{SuspectChanges, SuspectReports, SuspectsPosition},
 };
 use crate::{
+    consensus::ReplicaId,
     derives::record,
     document::ValidationErrors,
     rollout::{Rollout, RolloutCounts, RolloutRevision},
@@ -25,7 +26,7 @@
     proc_macros::rpc,
     types::{ErrorObjectOwned, error::ErrorCode},
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 record! {
     /// Registers a process or renews its lease, and polls for changes.
@@ -116,9 +117,9 @@
     /// The part of the cached state to read.
     #[derive(Copy)]
     pub enum PeekScope {
-        /// Only the document's version: a short reply, so that all instances may be queried.
+        /// Only the documents' versions: a short reply, so that all instances may be queried.
         Version,
-        /// The document.
+        /// The documents.
         Document,
         /// The targets.
         Targets,
@@ -126,13 +127,28 @@
         All,
     }
 
+    /// Which documents a control instance holds, with or without a leader.
+    #[derive(Default)]
+    pub struct DocumentHolding {
+        /// Its replica.
+        pub replica: ReplicaId,
+        /// The voters of the group, as far as the replica knows; none if it belongs to no group.
+        pub voters: BTreeSet<ReplicaId>,
+        /// The newest document that the replica knows to be committed; 0 if there is none.
+        pub committed: DocumentVersion,
+        /// Later documents in its log, of which it does not know whether they are committed.
+        pub pending: Vec<DocumentVersion>,
+    }
+
     /// The reply of any control instance, with or without a leader.
     #[derive(Default)]
     pub struct PeekReply {
-        /// The version of the cached document; 0 if there is none.
-        pub version: DocumentVersion,
+        /// The documents that it holds.
+        pub holding: DocumentHolding,
         /// The requested part of the cached state.
         pub known: CachedState,
+        /// The pending documents, if documents are requested.
+        pub pending: Vec<AcceptedDocument>,
         /// The RPC addresses of the present control instances, as this one sees them.
         pub control: Vec<std::net::SocketAddr>,
     }
@@ -141,8 +157,8 @@
     /// committed, so it only adds to what an earlier leader told.
     #[derive(Default)]
     pub struct CatchUpReply {
-        /// The version of the committed document; 0 if there is none.
-        pub version: DocumentVersion,
+        /// The documents that it holds.
+        pub holding: DocumentHolding,
         /// The departures that the replica has learned of since the view was confirmed.
         pub departures: Vec<Departure>,
         /// The committed rollouts.
@@ -150,6 +166,8 @@
         pub rollouts: Vec<Rollout>,
         /// Whether the replica leads, so that the view can be renewed there.
         pub leads: bool,
+        /// The RPC addresses of the present control instances, as this one sees them.
+        pub control: Vec<std::net::SocketAddr>,
     }
 
     /// The reply to a change of the document.
--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -6,8 +6,9 @@
 //! document may be in force.
 
 pub mod catch_up;
+pub mod document_choice;
 
-use self::catch_up::CatchUpTask;
+use self::{catch_up::CatchUpTask, document_choice::DocumentChoice};
 use crate::{
     clock,
     control::{
@@ -32,7 +33,7 @@
 use jsonrpsee::http_client::HttpClient;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -70,6 +71,8 @@
 pub struct View {
     /// The document in force.
     pub policy: Arc<Policy>,
+    /// Later documents, each of which may be in force; only while no leader confirms the view.
+    pub possible_policies: Vec<Arc<Policy>>,
     /// The agents that have a target.
     pub agents: Arc<BTreeMap<ProcessName, Member>>,
     /// The directory of targets; only for gateways.
@@ -113,6 +116,12 @@
         (self.confirmed_ms > 0).then(|| now_ms.saturating_sub(self.confirmed_ms))
     }
 
+    /// Whether every document that may be in force routes and authenticates such a request alike.
+    pub fn is_settled(&self, host: &str, path: &str, api_key: Option<&str>) -> bool {
+        let mut possible = self.possible_policies.iter();
+        possible.all(|policy| policy.handles_alike(&self.policy, host, path, api_key))
+    }
+
     /// The highest revision of the rollouts; 0 if there are none.
     pub fn rollouts_seen(&self) -> RolloutRevision {
         let revisions = self.rollouts.values().map(|rollout| rollout.revision);
@@ -394,11 +403,14 @@
                     }
                     is_disconnected = false;
                     self.client.set_discovered(&reply.control);
-                    let _ = ractor::call!(actor, |done| ViewUpdate::Reply {
+                    let merged = ractor::call!(actor, |done| ViewUpdate::Reply {
                         reply: Box::new(reply),
                         sent_ms: Some(sent_ms.load(Ordering::Relaxed)),
                         done
                     });
+                    if let Err(error) = merged {
+                        tracing::error!(%error, "view: failed to merge a reply of the leader");
+                    }
                 }
                 Err(error) if !is_disconnected => {
                     is_disconnected = true;
@@ -418,8 +430,8 @@
 }
 
 impl PeekTask {
-    /// Runs until the leader has renewed the view. Queries all instances for their document
-    /// version, then fetches the cached state, which is long, from one that has a document.
+    /// Runs until the leader has renewed the view. Queries all instances for the versions that they
+    /// hold, then fetches the chosen documents and the rest of the cached state, which are long.
     /// Fetches the targets repeatedly, as they may restart at their addresses until there is a
     /// leader.
     async fn run(self, actor: ActorRef<ViewUpdate>) {
@@ -435,43 +447,71 @@
             };
             drop(view);
             let found_instances = AtomicBool::new(false);
-            let reply = self.client.call_all(
+            let replies = self.client.call_until(
                 PEEK_TIMEOUT_MS,
                 |client| async move { client.peek(PeekScope::Version).await },
-                |reply| {
-                    found_instances.fetch_or(
-                        self.client.set_discovered(&reply.control),
-                        Ordering::Relaxed,
-                    );
-                    reply.version > DocumentVersion(0)
+                |replies: &[(HttpClient, PeekReply)]| {
+                    let newest = replies.last().map(|(_, reply)| &reply.control[..]);
+                    let is_new = self.client.add_discovered(newest.unwrap_or_default());
+                    found_instances.fetch_or(is_new, Ordering::Relaxed);
+                    document_choice::choose(&holdings(replies), false).is_some()
                 },
             );
-            let cached = match reply.await {
-                Some((client, _)) => Self::fetch(&client, wanted).await,
-                None => None,
-            };
-            match (cached, wanted) {
-                (Some(cached), _) => {
-                    Self::use_cached_state(cached, &actor).await;
+            let replies = replies.await;
+            // Instances that have just been found are queried before one that may be behind is
+            // believed. Instances without a disk have no document after a restart, but return the
+            // addresses of others.
+            let are_complete = !found_instances.load(Ordering::Relaxed);
+            match document_choice::choose(&holdings(&replies), are_complete) {
+                Some(choice) if Self::use_choice(&choice, wanted, &replies, &actor).await => {
                     delay_ms = TARGETS_PEEK_INTERVAL_MS;
                 }
-                (None, PeekScope::All) if found_instances.load(Ordering::Relaxed) => {
-                    // Instances without a disk have no document after a restart, but return the
-                    // addresses of others: queries those without delay.
+                None if !are_complete => {
                     delay_ms = PEEK_BACKOFF_MS;
                     continue;
                 }
-                (None, _) => delay_ms = (delay_ms * 3 / 2).min(MAX_PEEK_BACKOFF_MS),
+                Some(_) | None => delay_ms = (delay_ms * 3 / 2).min(MAX_PEEK_BACKOFF_MS),
             }
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
     }
 
-    async fn fetch(client: &HttpClient, wanted: PeekScope) -> Option<CachedState> {
+    /// Fetches the chosen documents and merges them with the cached state; returns false if one of
+    /// them cannot be had.
+    async fn use_choice(
+        choice: &DocumentChoice,
+        wanted: PeekScope,
+        replies: &[(HttpClient, PeekReply)],
+        actor: &ActorRef<ViewUpdate>,
+    ) -> bool {
+        let holder = replies
+            .iter()
+            .find(|(_, reply)| reply.holding.committed == choice.committed);
+        let fetched = match holder {
+            Some((client, _)) => Self::fetch(client, wanted).await,
+            None => None,
+        };
+        let Some(PeekReply { known, pending, .. }) = fetched else {
+            return false;
+        };
+        if wanted == PeekScope::All {
+            let holders = replies.iter();
+            let holders = holders.map(|(client, reply)| (client, &reply.holding));
+            let possible = fetch_possible(&choice.possible, pending, holders).await;
+            let Some(possible) = possible else {
+                return false;
+            };
+            catch_up::merge_possible(possible, actor).await;
+        }
+        Self::use_cached_state(known, actor).await;
+        true
+    }
+
+    async fn fetch(client: &HttpClient, wanted: PeekScope) -> Option<PeekReply> {
         let call = client.peek(wanted);
         let outcome = tokio::time::timeout(Duration::from_millis(FETCH_TIMEOUT_MS), call).await;
         match outcome {
-            Ok(Ok(reply)) => Some(reply.known),
+            Ok(Ok(reply)) => Some(reply),
             Ok(Err(error)) => {
                 tracing::info!(%error, "view: failed to fetch a control instance's cached state");
                 None
@@ -521,6 +561,60 @@
     }
 }
 
+fn holdings(replies: &[(HttpClient, PeekReply)]) -> Vec<DocumentHolding> {
+    let holdings = replies.iter().map(|(_, reply)| reply.holding.clone());
+    holdings.collect()
+}
+
+/// Fetches the documents of these versions that are not among the known ones; `None` if one of them
+/// cannot be had.
+async fn fetch_possible(
+    wanted: &BTreeSet<DocumentVersion>,
+    mut known: Vec<AcceptedDocument>,
+    holders: impl Iterator<Item = (&HttpClient, &DocumentHolding)>,
+) -> Option<Vec<AcceptedDocument>> {
+    let lacks = |known: &[AcceptedDocument], version: &DocumentVersion| {
+        known.iter().all(|document| document.version != *version)
+    };
+    for (client, holding) in holders {
+        let is_useful = |version: &&DocumentVersion| {
+            lacks(&known, version) && holding.pending.contains(version)
+        };
+        if wanted.iter().any(|version| is_useful(&version))
+            && let Some(reply) = PeekTask::fetch(client, PeekScope::Document).await
+        {
+            known.extend(reply.pending);
+            // Committed meanwhile.
+            known.push(reply.known.document);
+        }
+    }
+    let missing = wanted.iter().filter(|version| lacks(&known, version));
+    let missing: Vec<String> = missing.map(ToString::to_string).collect();
+    if !missing.is_empty() {
+        tracing::warn!(
+            versions = missing.join(" "),
+            "view: documents that may be in force cannot be had"
+        );
+        return None;
+    }
+    known.retain(|document| wanted.contains(&document.version));
+    Some(known)
+}
+
+/// Where a view's document comes from.
+#[derive(Clone, Copy, derive_more::Display)]
+enum DocumentSource {
+    /// A leader, so it is in force.
+    #[display("leader")]
+    Leader,
+    /// The cache of a control instance, at the start of the process.
+    #[display("cache")]
+    Cache,
+    /// A control instance that knows that it is committed.
+    #[display("catch-up")]
+    CatchUp,
+}
+
 /// What is merged into the view.
 enum ViewUpdate {
     /// A reply of a leader, or the state that an instance has cached.
@@ -535,6 +629,8 @@
         departures: Vec<Departure>,
         rollouts: Vec<Rollout>,
         document: Option<AcceptedDocument>,
+        /// Documents that may be committed.
+        possible: Vec<AcceptedDocument>,
         done: ractor::RpcReplyPort<()>,
     },
 }
@@ -574,11 +670,13 @@
                 departures,
                 rollouts,
                 document,
+                possible,
                 done,
             } => {
                 let has_rollouts = merge_rollouts(&mut next, rollouts);
                 let is_merged = merge_committed(&mut next, departures, document);
-                (has_rollouts || is_merged, done)
+                let has_possible = merge_possible(&mut next, possible);
+                (has_rollouts || is_merged || has_possible, done)
             }
         };
         if is_merged {
@@ -595,7 +693,16 @@
 /// outdated or its document failed to compile.
 fn merge_reply(view: &mut View, reply: SyncReply, sent_ms: Option<u64>) -> bool {
     let held_ms = reply.held_ms.min(MAX_RENEWAL_HOLD_MS);
-    if reply.fencing < view.fencing || !merge(view, reply) {
+    let source = match sent_ms {
+        Some(_) => DocumentSource::Leader,
+        None => DocumentSource::Cache,
+    };
+    if reply.fencing < view.fencing {
+        let (term, known) = (reply.fencing.0, view.fencing.0);
+        tracing::info!(term, known, "view: reply of an earlier leader ignored");
+        return false;
+    }
+    if !merge(view, reply, source) {
         return false;
     }
     match sent_ms {
@@ -604,6 +711,7 @@
             view.shares_expire_ms = sent_ms + LOCAL_SHARE_LEASE_MS;
             view.confirmed_ms = sent_ms + held_ms;
             view.valid_until_ms = view.confirmed_ms + VIEW_LEASE_MS;
+            view.possible_policies.clear();
         }
     }
     // Only a leader that replies to a later request is sure to know what was learned. An earlier one,
@@ -630,7 +738,8 @@
     document: Option<AcceptedDocument>,
 ) -> bool {
     let version = view.policy.version;
-    let is_compiled = document.is_none_or(|document| merge_document(view, document));
+    let is_compiled =
+        document.is_none_or(|document| merge_document(view, document, DocumentSource::CatchUp));
     let has_departures = !departures.is_empty();
     if has_departures {
         view.departures_learned_ms = clock::boot_ms();
@@ -684,14 +793,37 @@
     log_targets(&before, &view.targets, &seen.unwrap_or_default());
 }
 
+/// Merges documents of which no instance that replied knows whether they are committed; returns
+/// whether one of them is new.
+fn merge_possible(view: &mut View, documents: Vec<AcceptedDocument>) -> bool {
+    let mut is_changed = false;
+    for AcceptedDocument { version, yaml, .. } in documents {
+        let mut possible = view.possible_policies.iter();
+        if version <= view.policy.version || possible.any(|known| known.version == version) {
+            continue;
+        }
+        match Policy::compile(version, &yaml) {
+            Ok(policy) => {
+                tracing::warn!("view: document {version} may be in force, no leader confirms it");
+                view.possible_policies.push(Arc::new(policy));
+                is_changed = true;
+            }
+            Err(errors) => tracing::error!("view: failed to compile document {version}: {errors}"),
+        }
+    }
+    is_changed
+}
+
 /// Merges a document; returns false if it failed to compile.
-fn merge_document(view: &mut View, document: AcceptedDocument) -> bool {
+fn merge_document(view: &mut View, document: AcceptedDocument, source: DocumentSource) -> bool {
     if document.version <= view.policy.version {
         return true;
     }
     match Policy::compile(document.version, &document.yaml) {
         Ok(policy) => {
-            tracing::info!("view: document {} is in force", policy.version);
+            tracing::info!(%source, "view: document {} is in force", policy.version);
+            view.possible_policies
+                .retain(|possible| possible.version > policy.version);
             view.policy = Arc::new(policy);
             true
         }
@@ -706,10 +838,10 @@
 }
 
 /// Merges a reply; returns false if its document failed to compile.
-fn merge(view: &mut View, reply: SyncReply) -> bool {
+fn merge(view: &mut View, reply: SyncReply, source: DocumentSource) -> bool {
     if reply
         .document
-        .is_some_and(|document| !merge_document(view, document))
+        .is_some_and(|document| !merge_document(view, document, source))
     {
         return false;
     }
--- a/src/control_view/catch_up.rs
+++ b/src/control_view/catch_up.rs
@@ -11,7 +11,7 @@
 //! | never confirmed, with a cached document | all, first for everything, then for the latest |
 //! | never confirmed, without a document | nobody: the process has yet to fetch one |
 
-use super::{PeekTask, View, ViewUpdate};
+use super::{PeekTask, View, ViewUpdate, document_choice};
 use crate::{
     clock,
     control::{ControlClient, departures::Departure, rpc::*, state::AcceptedDocument},
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Asks all instances and merges each reply as it arrives.
+    /// Asks all instances and merges each reply as it arrives, then fetches later documents.
     async fn ask_all(&self, age_ms: u64, version: DocumentVersion, actor: &ActorRef<ViewUpdate>) {
         let (sender, mut replies) = mpsc::unbounded_channel();
         let call = |client: HttpClient| async move { client.catch_up(age_ms).await };
@@ -101,6 +101,7 @@
             call,
             // Owns the sender: the channel closes after the last reply.
             move |address: SocketAddr, client: HttpClient, reply: CatchUpReply| {
+                self.client.add_discovered(&reply.control);
                 // A renewal that waits for this very instance is not cut short: it may be on its way.
                 if reply.leads && self.client.prefer(address) {
                     tracing::info!(%address, "view: a leader is found");
@@ -110,30 +111,45 @@
             },
         );
         let merging = async {
-            let mut newest: Option<(DocumentVersion, HttpClient)> = None;
+            let (mut clients, mut holdings) = (Vec::new(), Vec::new());
             while let Some((client, reply)) = replies.recv().await {
-                merge(reply.departures, reply.rollouts, None, actor).await;
-                let is_newer = newest
-                    .as_ref()
-                    .is_none_or(|(known, _)| reply.version > *known);
-                if reply.version > version && is_newer {
-                    newest = Some((reply.version, client));
-                }
+                merge_committed(reply.departures, reply.rollouts, None, actor).await;
+                clients.push(client);
+                holdings.push(reply.holding);
             }
-            newest
+            (clients, holdings)
         };
-        let ((), newest) = tokio::join!(asking, merging);
-        let Some((version, client)) = newest else {
-            return;
+        let ((), (clients, holdings)) = tokio::join!(asking, merging);
+        let newest = clients.iter().zip(&holdings);
+        let newest = newest.max_by_key(|(_, holding)| holding.committed);
+        let (newest, mut pending) = match newest {
+            Some((client, holding)) if holding.committed > version => {
+                match PeekTask::fetch(client, PeekScope::Document).await {
+                    Some(reply) => (Some(reply.known.document), reply.pending),
+                    None => return,
+                }
+            }
+            _ => (None, Vec::new()),
         };
-        if let Some(cached) = PeekTask::fetch(&client, PeekScope::Document).await {
-            tracing::info!(%version, "view: fetched a newer document");
-            merge(Vec::new(), Vec::new(), Some(cached.document), actor).await;
+        let base = newest.as_ref().map_or(version, |newest| newest.version);
+        let mut possible = document_choice::later(&holdings, base);
+        let view = self.view.load();
+        for policy in &view.possible_policies {
+            possible.remove(&policy.version);
+        }
+        drop(view);
+        pending.retain(|document| possible.contains(&document.version));
+        let holders = clients.iter().zip(&holdings);
+        let possible = super::fetch_possible(&possible, pending, holders).await;
+        merge_possible(possible.unwrap_or_default(), actor).await;
+        if let Some(document) = newest {
+            tracing::info!(version = %document.version, "view: fetched a newer document");
+            merge_committed(Vec::new(), Vec::new(), Some(document), actor).await;
         }
     }
 }
 
-async fn merge(
+async fn merge_committed(
     departures: Vec<Departure>,
     rollouts: Vec<Rollout>,
     document: Option<AcceptedDocument>,
@@ -143,9 +159,26 @@
         departures,
         rollouts,
         document,
+        possible: Vec::new(),
         done
     });
     if let Err(error) = merged {
         tracing::warn!(%error, "view: failed to merge what is committed");
     }
 }
+
+pub(super) async fn merge_possible(possible: Vec<AcceptedDocument>, actor: &ActorRef<ViewUpdate>) {
+    if possible.is_empty() {
+        return;
+    }
+    let merged = ractor::call!(actor, |done| ViewUpdate::Committed {
+        departures: Vec::new(),
+        rollouts: Vec::new(),
+        document: None,
+        possible,
+        done
+    });
+    if let Err(error) = merged {
+        tracing::warn!(%error, "view: failed to merge documents that may be in force");
+    }
+}
--- a/src/document.rs
+++ b/src/document.rs
@@ -313,6 +313,29 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Whether another document sends such a request to the same services, for the same customer.
+    pub fn handles_alike(
+        &self,
+        other: &Self,
+        host: &str,
+        path: &str,
+        api_key: Option<&str>,
+    ) -> bool {
+        // The customer where one is needed; `Some(None)` if no customer has the key.
+        let customer = |policy: &Self, route: &RoutePolicy| {
+            let is_needed = !route.public && policy.has_customers;
+            let customer = api_key.and_then(|key| policy.customer(key));
+            is_needed.then(|| customer.map(|customer| customer.name.clone()))
+        };
+        match (self.route(host, path), other.route(host, path)) {
+            (None, None) => true,
+            (Some(here), Some(there)) => {
+                here.targets == there.targets && customer(self, here) == customer(other, there)
+            }
+            (Some(_), None) | (None, Some(_)) => false,
+        }
+    }
+
     /// Rank of a customer's request on a route.
     pub fn rank(&self, customer: Option<&CustomerPolicy>, route: &RoutePolicy) -> TierRank {
         let tier = customer.and_then(|customer| customer.tier.as_ref());
--- a/src/gateway/incoming_request.rs
+++ b/src/gateway/incoming_request.rs
@@ -99,6 +99,12 @@
             .and_then(|host| host.to_str().ok());
         let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
         let path = parts.uri.path();
+        if !view.is_settled(host, path, metadata.api_key.as_deref()) {
+            metrics::gateway_unsettled_request();
+            let message = "a later document may be in force that handles the request differently";
+            let refusal = Refusal::not_run(Reason::ControlUnreachable, message);
+            return Err(with_id(refusal.retry_after(NO_DOCUMENT_RETRY_AFTER_MS)));
+        }
         let route = view.policy.route(host, path).ok_or_else(|| {
             let message = format!("no route for {host}{path}");
             with_id(refusal_or_unavailable(
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -328,6 +328,7 @@
     pub fn sweep(&self) {
         let view = self.view.load();
         self.log_departures(&view);
+        metrics::gateway_document_version(view.policy.version);
         metrics::gateway_view_age(view.age_ms(clock::boot_ms()).unwrap_or(0));
         self.update_agents(&view);
         self.state()
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -234,6 +234,17 @@
     "Time since a leader last confirmed the view of the control group, in milliseconds"
 );
 
+gauge!(
+    GATEWAY_DOCUMENT_VERSION,
+    "guavacove.gateway.document_version",
+    "Version of the document that the gateway serves by"
+);
+counter!(
+    GATEWAY_UNSETTLED_REQUESTS,
+    "guavacove.gateway.unsettled_requests",
+    "Requests refused as documents that may be in force handle them differently"
+);
+
 counter!(
     GATEWAY_STOPPED_ATTEMPTS,
     "guavacove.gateway.stopped_attempts",
@@ -523,6 +534,16 @@
     GATEWAY_VIEW_AGE.record(age_ms, &[]);
 }
 
+/// Records the version of the document that a gateway serves by.
+pub fn gateway_document_version(version: DocumentVersion) {
+    GATEWAY_DOCUMENT_VERSION.record(version.0, &[]);
+}
+
+/// Counts a request that documents which may be in force handle differently.
+pub fn gateway_unsettled_request() {
+    GATEWAY_UNSETTLED_REQUESTS.add(1, &[]);
+}
+
 /// Counts an attempt that was not sent as its target turned out to leave.
 pub fn gateway_stopped_attempt(service: &ServiceName) {
     GATEWAY_STOPPED_ATTEMPTS.add(1, &[KeyValue::new("service", service.0.clone())]);
--- a/tests/control_view.rs
+++ b/tests/control_view.rs
@@ -10,7 +10,7 @@
             AnnouncementVersion, LimitReport, TargetChanges, TargetEntry, TargetsPosition,
         },
         members::{Member, ProcessRole},
-        rpc::{CatchUpReply, ControlError, SyncReply, SyncRequest},
+        rpc::{CatchUpReply, ControlError, DocumentHolding, SyncReply, SyncRequest},
         state::AcceptedDocument,
     },
     control_view::ControlView,
@@ -249,15 +249,18 @@
             started_unix_ms: 5,
             sequence: 7,
         };
+        let holding = DocumentHolding {
+            committed: DocumentVersion(1),
+            ..DocumentHolding::default()
+        };
         CatchUpReply {
-            version: DocumentVersion(1),
+            holding,
             departures: vec![Departure {
                 target: "t".into(),
                 version,
                 has_withdrawn: false,
             }],
-            rollouts: Vec::new(),
-            leads: false,
+            ..CatchUpReply::default()
         }
     }
 
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -1,6 +1,7 @@
 //! Route matching, and validation of routes in the document.
 
 use guavacove::{document::Policy, units::DocumentVersion};
+use sha2::Digest;
 
 fn document(routes: &str) -> String {
     format!(
@@ -91,3 +92,83 @@
     let yaml = document(&route("one", "/a/", DRAFTS)).replacen("customers:", &second, 1);
     assert!(validation_errors(&yaml).contains("has the same key"));
 }
+
+/// A document with one route, or without, whose customers have these keys.
+fn keyed_document(route: Option<&str>, keys: &[(&str, &str)]) -> Policy {
+    let hash = |key: &str| format!("{:x}", sha2::Sha256::digest(key.as_bytes()));
+    let customers = keys.iter().map(|(name, key)| {
+        format!(
+            "  - {{name: {name}, tier: live, key_sha256: {}}}\n",
+            hash(key)
+        )
+    });
+    let yaml = format!(
+        "format: 1
+tiers:
+  - {{name: live, rank: 0, deadline_ms: 1000}}
+  - {{name: batch, rank: 2, deadline_ms: 1000}}
+services:
+  - {{name: drafts, kind: model}}
+  - {{name: filings, kind: plain}}
+customers:
+{}routes:
+{}{}",
+        customers.collect::<String>(),
+        self::route("other", "/other/", DRAFTS),
+        route.unwrap_or_default()
+    );
+    Policy::compile(DocumentVersion(1), &yaml).unwrap()
+}
+
+macro_rules! alike {
+    ($($name:ident: $before:expr, $after:expr => $is_alike:literal;)*) => {
+        $(
+            /// Guards against a request that is served although a document that may be in force
+            /// handles it differently.
+            #[test]
+            fn $name() {
+                let (before, after): (Policy, Policy) = ($before, $after);
+                for (one, other) in [(&before, &after), (&after, &before)] {
+                    let is_alike = one.handles_alike(other, "h.example", "/a/x/y", Some("key"));
+                    assert_eq!(is_alike, $is_alike);
+                }
+            }
+        )*
+    };
+}
+
+const FIRST: &[(&str, &str)] = &[("first", "key"), ("second", "other key")];
+
+fn drafts() -> String {
+    route("one", "/a/", DRAFTS)
+}
+
+fn public(route: &str) -> String {
+    route.replace("repeat:", "public: true, repeat:")
+}
+
+alike! {
+    the_same_route: keyed_document(Some(&drafts()), FIRST), keyed_document(Some(&drafts()), FIRST) => true;
+    a_renamed_route: keyed_document(Some(&drafts()), FIRST),
+        keyed_document(Some(&route("two", "/a/", DRAFTS)), FIRST) => true;
+    no_route: keyed_document(None, FIRST), keyed_document(None, FIRST) => true;
+    a_dropped_route: keyed_document(Some(&drafts()), FIRST), keyed_document(None, FIRST) => false;
+    a_moved_route: keyed_document(Some(&drafts()), FIRST),
+        keyed_document(Some(&route("one", "/a/", "{service: filings, weight: 1}")), FIRST) => false;
+    a_longer_prefix: keyed_document(Some(&drafts()), FIRST),
+        keyed_document(Some(&(drafts() + &route("two", "/a/x/", "{service: filings, weight: 1}"))), FIRST) => false;
+    a_split_route: keyed_document(Some(&drafts()), FIRST),
+        keyed_document(Some(&route("one", "/a/", "{service: drafts, weight: 1}, {service: filings, weight: 1}")), FIRST) => false;
+    a_dropped_key: keyed_document(Some(&drafts()), FIRST),
+        keyed_document(Some(&drafts()), &[("first", "new key")]) => false;
+    a_key_of_another_customer: keyed_document(Some(&drafts()), FIRST),
+        keyed_document(Some(&drafts()), &[("second", "key")]) => false;
+    another_key_is_dropped: keyed_document(Some(&drafts()), FIRST),
+        keyed_document(Some(&drafts()), &[("first", "key")]) => true;
+    a_public_route_needs_no_key: keyed_document(Some(&public(&drafts())), FIRST),
+        keyed_document(Some(&public(&drafts())), &[("first", "new key")]) => true;
+    a_route_that_becomes_public: keyed_document(Some(&drafts()), FIRST),
+        keyed_document(Some(&public(&drafts())), FIRST) => false;
+    a_known_key_counts_where_one_is_needed: keyed_document(Some(&drafts()), &[("second", "x")]),
+        keyed_document(Some(&drafts()), &[("third", "y")]) => true;
+}
