Let a stream go on only at the version that began it

A broken stream went on at any target, and a caller's next attempt was a new request at the next gateway, which cannot know who began the stream.

One pure decision (stream_version.rs) binds a stream. Gateways note which versions a service runs, or ran in the last minute; while there are several, the version that brings a stream's first event is recorded at two agents that a hash of the attempt's id names, and four are asked when a caller takes the stream up. A stream without a record began before there were several, as long as that is less than a minute ago; otherwise it is refused, and so is one whose version has no target left. Services with one version record and ask nothing. Entries need no choice: their streams end with their target.

Weighed: a version computed from the id (what serves changes while streams run), and asking the agents of all targets (a message to each for each attempt).

--- a/src/agent/admission_agent.rs
+++ b/src/agent/admission_agent.rs
@@ -18,6 +18,7 @@
     metrics,
     request_limit::{RequestLimit, RequestRate},
     settings::AdmissionSettings,
+    stream_version::StreamRecords,
     units::TargetName,
 };
 use std::{
@@ -57,6 +58,8 @@
     links: HashMap<u64, LinkSender<FromAdmissionAgent>>,
     /// Keeps heartbeats on the link of each request while it is queued or running.
     keepalives: HashMap<RequestKey, KeepaliveGuard>,
+    /// Versions that began streams, of this or other services.
+    streams: StreamRecords,
 }
 
 /// A running admission agent.
@@ -256,6 +259,15 @@
                 self.slots.record_refusal(fingerprint);
                 Vec::new()
             }
+            ToAdmissionAgent::RecordStream { key, version } => {
+                self.streams.record(key, version, now_ms);
+                Vec::new()
+            }
+            ToAdmissionAgent::RecallStream { ticket, key } => {
+                let version = self.streams.find(key, now_ms).cloned();
+                self.send(link, FromAdmissionAgent::RecalledStream { ticket, version });
+                Vec::new()
+            }
             ToAdmissionAgent::FirstEvent { ticket } => {
                 self.slots.record_first_event((link, ticket.0), now_ms)
             }
--- a/src/gateway/admission_links.rs
+++ b/src/gateway/admission_links.rs
@@ -7,7 +7,9 @@
     grants::{FromAdmissionAgent, SlotRequest, TicketNumber, ToAdmissionAgent},
     link::{self, KeepaliveGuard, LinkReceiver, LinkSender},
     request_limit::RequestLimit,
+    stream_version::StreamKey,
     target_pace::TargetSpeed,
+    units::TargetVersion,
 };
 use std::{
     collections::HashMap,
@@ -18,7 +20,7 @@
     },
     time::{Duration, Instant},
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Delay before an unreachable agent is connected to again.
 const RECONNECT_DELAY_MS: u64 = 500;
@@ -88,6 +90,15 @@
     Remember {
         fingerprint: u64,
     },
+    RecordStream {
+        key: StreamKey,
+        version: TargetVersion,
+    },
+    RecallStream {
+        ticket: TicketNumber,
+        key: StreamKey,
+        reply: oneshot::Sender<Option<TargetVersion>>,
+    },
 }
 
 impl AgentReply {
@@ -100,7 +111,7 @@
             FromAdmissionAgent::Draining { .. } => Some(Self::Draining),
             FromAdmissionAgent::Limited { wait_ms, .. } => Some(Self::Limited(*wait_ms)),
             FromAdmissionAgent::Recalled { is_return, .. } => Some(Self::Recalled(*is_return)),
-            FromAdmissionAgent::Kept { .. } => None,
+            FromAdmissionAgent::Kept { .. } | FromAdmissionAgent::RecalledStream { .. } => None,
         }
     }
 }
@@ -243,6 +254,28 @@
         let _ = self.link(address).send(Command::Remember { fingerprint });
     }
 
+    /// Records the version that began a stream at an agent.
+    pub fn record_stream(&self, address: SocketAddr, key: StreamKey, version: TargetVersion) {
+        let _ = self
+            .link(address)
+            .send(Command::RecordStream { key, version });
+    }
+
+    /// Asks an agent for the version that began a stream. The channel closes without a reply if the
+    /// agent cannot be reached.
+    pub fn recall_stream(
+        &self,
+        address: SocketAddr,
+        key: StreamKey,
+    ) -> oneshot::Receiver<Option<TargetVersion>> {
+        let (reply, replied) = oneshot::channel();
+        let ticket = self.next_ticket();
+        let _ = self
+            .link(address)
+            .send(Command::RecallStream { ticket, key, reply });
+        replied
+    }
+
     fn next_ticket(&self) -> TicketNumber {
         TicketNumber(self.tickets.fetch_add(1, Ordering::Relaxed))
     }
@@ -280,6 +313,7 @@
     address: SocketAddr,
     connection: Option<OpenConnection>,
     pending: HashMap<TicketNumber, PendingRequest>,
+    recalls: HashMap<TicketNumber, oneshot::Sender<Option<TargetVersion>>>,
     failed_at: Option<Instant>,
 }
 
@@ -289,6 +323,7 @@
             address,
             connection: None,
             pending: HashMap::new(),
+            recalls: HashMap::new(),
             failed_at: None,
         }
     }
@@ -308,7 +343,7 @@
                     None => return,
                 },
                 reply = reply => match reply {
-                    Some(message) => self.handle_message(&message),
+                    Some(message) => self.handle_message(message),
                     None => self.disconnect(),
                 },
                 () = tokio::time::sleep(idle), if self.pending.is_empty() => self.connection = None,
@@ -338,6 +373,22 @@
                 };
                 self.ask(ticket, message, position, replies).await;
             }
+            Command::RecordStream { key, version } => {
+                if self.connection.is_none() {
+                    self.connect().await;
+                }
+                self.send(ToAdmissionAgent::RecordStream { key, version });
+            }
+            Command::RecallStream { ticket, key, reply } => {
+                if self.connection.is_none() {
+                    self.connect().await;
+                }
+                self.recalls.retain(|_, reply| !reply.is_closed());
+                if self.connection.is_some() {
+                    self.recalls.insert(ticket, reply);
+                    self.send(ToAdmissionAgent::RecallStream { ticket, key });
+                }
+            }
             Command::Remember { fingerprint } => {
                 self.send(ToAdmissionAgent::Remember { fingerprint });
             }
@@ -408,8 +459,14 @@
         }
     }
 
-    fn handle_message(&mut self, message: &FromAdmissionAgent) {
-        let Some(reply) = AgentReply::of(message) else {
+    fn handle_message(&mut self, message: FromAdmissionAgent) {
+        let Some(reply) = AgentReply::of(&message) else {
+            if let FromAdmissionAgent::RecalledStream { ticket, version } = message
+                && let Some(reply) = self.recalls.remove(&ticket)
+            {
+                // A caller that waited too long is gone.
+                let _ = reply.send(version);
+            }
             return;
         };
         let ticket = message.ticket();
@@ -437,6 +494,7 @@
         if self.connection.take().is_some() {
             tracing::warn!(address = %self.address, waiting = self.pending.len(), "gateway: lost connection to agent");
         }
+        self.recalls.clear();
         for (_, pending) in self.pending.drain() {
             if let Some(replies) = pending.replies {
                 let _ = replies.send((pending.position, AgentReply::Unreachable, None));
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -168,6 +168,8 @@
     pub done_units: u64,
     /// What a rollout has decided for it.
     pub versions: RequestVersions,
+    /// The version that began its stream, once its caller has received an event.
+    pub stream_version: Option<TargetVersion>,
 }
 
 impl<D: TrafficDialect> Attempts<D> {
@@ -181,6 +183,11 @@
     ) -> Result<GatewayResponse<D>, Refusal> {
         let mut progress = Progress::default();
         self.check_crashes(&incoming)?;
+        if incoming.metadata.resume_after.is_some()
+            && incoming.route.retry == RetryPolicy::Resumable
+        {
+            progress.stream_version = self.targets.version_of_stream(&incoming).await?;
+        }
         let charge_source = self.admit(&incoming).await?;
         self.retry_budget()
             .record_request(&incoming.service, clock::boot_ms());
@@ -639,6 +646,7 @@
             (None, _) => incoming.arrived_ms + start_objective_ms,
         };
         let work_units = incoming.work_units_after(progress.done_units);
+        let stream_version = progress.stream_version.clone();
         let waiting = QueuedRequest {
             rank: incoming.rank,
             route_rank: incoming.route.rank,
@@ -666,6 +674,7 @@
             pause_ms: incoming.route.event_gap_objective_ms,
             fingerprint: incoming.fingerprint(),
             versions: self.targets.choose_versions(incoming, progress),
+            stream_version: stream_version.as_ref(),
         };
         loop {
             let acquired = self.targets.acquire(&query).await;
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -290,7 +290,14 @@
         let now_ms = clock::boot_ms();
         self.longest_pause_ms = self.longest_pause_ms.max(now_ms - self.last_sent_ms);
         self.last_sent_ms = now_ms;
-        self.progress.last_event_ms = Some(now_ms);
+        let is_first = self.progress.last_event_ms.replace(now_ms).is_none();
+        if is_first && self.events.is_some() && self.progress.stream_version.is_none() {
+            let target = &self.slot.target;
+            self.progress.stream_version = Some(target.version.clone());
+            if self.incoming.metadata.resume_after.is_none() {
+                self.attempts.targets.record_stream(&self.incoming, target);
+            }
+        }
     }
 
     /// Takes an incomplete event of this size into the byte budget; returns whether it fits.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -33,6 +33,8 @@
         pub parts: Vec<PromptPart>,
         /// Id of the last event that the caller received in an earlier attempt.
         pub resume_after: Option<u64>,
+        /// Id of the attempt that brought the first event of the stream that the caller takes up.
+        pub resumes: Option<String>,
     }
 
 }
--- a/src/gateway/shared_queues.rs
+++ b/src/gateway/shared_queues.rs
@@ -390,8 +390,11 @@
             }
             // Plain targets have no prefill that a first event would end.
             Command::Full { .. } | Command::FirstEvent { .. } => {}
-            // Keepers remember no refusals; `SlotSource` asks them for none.
-            Command::Recall { .. } | Command::Remember { .. } => {}
+            // Only the own links of agents are asked to remember anything.
+            Command::Recall { .. }
+            | Command::Remember { .. }
+            | Command::RecordStream { .. }
+            | Command::RecallStream { .. } => {}
             Command::Abandoned { ticket } => {
                 if self.remove(ticket) {
                     self.send(ToAdmissionAgent::Abandoned { ticket });
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -7,8 +7,9 @@
 mod ordering;
 mod ranking;
 mod refusals;
+mod stream_versions;
 
-use self::local_share::ServiceQueue;
+use self::{local_share::ServiceQueue, stream_versions::StreamVersions};
 use super::{
     admission_links::{AdmissionLinks, PendingSlotRequest},
     dialect::PromptPart,
@@ -81,6 +82,8 @@
     pub fingerprint: u64,
     /// Versions of the targets that it may use.
     pub versions: VersionChoice,
+    /// The version that began its stream, which alone may go on with it.
+    pub stream_version: Option<&'a TargetVersion>,
 }
 
 /// A slot at a target, released when the guard is dropped.
@@ -145,6 +148,7 @@
     /// Queues of plain targets that agents keep; `None` if the settings do not enable them.
     shared_queues: Option<SharedQueues>,
     version_outcomes: VersionOutcomes,
+    stream_versions: Mutex<StreamVersions>,
     rules: (PlacementRule, PrefixCacheRule),
     state: Mutex<State>,
 }
@@ -196,6 +200,7 @@
             admission_port,
             shared_queues: has_shared_queues.then(SharedQueues::default),
             version_outcomes: VersionOutcomes::new(gateway),
+            stream_versions: Mutex::default(),
             rules,
             state: Mutex::default(),
         })
@@ -331,6 +336,10 @@
         metrics::gateway_document_version(view.policy.version);
         metrics::gateway_view_age(view.age_ms(clock::boot_ms()).unwrap_or(0));
         self.update_agents(&view);
+        let targets = view.targets.values();
+        self.stream_versions()
+            .history
+            .observe(targets, clock::boot_ms());
         self.state()
             .stats
             .retain(|name, stats| stats.in_progress > 0 || view.targets.contains_key(name));
--- a/src/gateway/targets/ranking.rs
+++ b/src/gateway/targets/ranking.rs
@@ -74,7 +74,14 @@
     pub(super) fn allows_version(&self, query: &SlotQuery, target: &TargetEntry) -> bool {
         let view = self.view.load();
         let rollout = versions::rollout_of(&view, query.service);
-        rollout.is_none_or(|rollout| query.versions.allows(rollout, &target.version))
+        Self::goes_on(query, target)
+            && rollout.is_none_or(|rollout| query.versions.allows(rollout, &target.version))
+    }
+
+    /// Returns whether the target runs the version that began the stream, if any did.
+    fn goes_on(query: &SlotQuery, target: &TargetEntry) -> bool {
+        let mut version = query.stream_version.into_iter();
+        version.all(|version| *version == target.version)
     }
 
     /// Returns what is counted of an attempt at a target, while a rollout is in progress.
@@ -155,7 +162,9 @@
         now_ms: u64,
     ) -> (Vec<TargetEntry>, usize) {
         let view = self.view.load();
-        let serves = |target: &&TargetEntry| target.service == *query.service && !target.leaving;
+        let serves = |target: &&TargetEntry| {
+            target.service == *query.service && !target.leaving && Self::goes_on(query, target)
+        };
         let serving = view.targets.values().filter(serves);
         let Some(rollout) = versions::rollout_of(&view, query.service) else {
             return self.ranked(state, query, &serving.collect::<Vec<_>>(), now_ms);
--- a/src/grants.rs
+++ b/src/grants.rs
@@ -7,6 +7,7 @@
     derives::{quantity, record},
     request_limit::RequestLimit,
     scheduling::fair_share::ShareHolder,
+    stream_version::StreamKey,
     target_pace::TargetSpeed,
     units::*,
 };
@@ -130,6 +131,20 @@
             /// See [`SlotRequest::fingerprint`].
             fingerprint: u64,
         },
+        /// Records the version that began a stream.
+        RecordStream {
+            /// The stream.
+            key: StreamKey,
+            /// The version of the target that began it.
+            version: TargetVersion,
+        },
+        /// Asks for the version that began a stream.
+        RecallStream {
+            /// Identifies the question on this link, like a ticket.
+            ticket: TicketNumber,
+            /// The stream.
+            key: StreamKey,
+        },
     }
 
     /// Message from an admission agent to a gateway.
@@ -185,6 +200,13 @@
             /// Whether the request was refused before.
             is_return: bool,
         },
+        /// The reply to [`ToAdmissionAgent::RecallStream`].
+        RecalledStream {
+            /// Ticket of the question.
+            ticket: TicketNumber,
+            /// The version that began the stream; `None` if it is not recorded here.
+            version: Option<TargetVersion>,
+        },
     }
 }
 
@@ -211,7 +233,8 @@
             | Self::Draining { .. }
             | Self::Limited { .. }
             | Self::Kept { .. }
-            | Self::Recalled { .. } => None,
+            | Self::Recalled { .. }
+            | Self::RecalledStream { .. } => None,
         }
     }
 
@@ -224,6 +247,7 @@
             | Self::Limited { ticket, .. }
             | Self::Kept { ticket }
             | Self::Recalled { ticket, .. }
+            | Self::RecalledStream { ticket, .. }
             | Self::Draining { ticket } => *ticket,
         }
     }
