Check in the model that the logs of each majority hold what is committed

A process that starts without a leader relies on it to find an acknowledged document. The exploration with two learners holds; a mutation that counts learners towards commits is detected (both run).

--- a/tests/model_check.rs
+++ b/tests/model_check.rs
@@ -81,6 +81,8 @@
     clock_ms: u64,
     vote_not_synced: bool,
     disk_keeps_identity: bool,
+    /// Whether the logs of each majority of the voters must hold each committed entry.
+    reads_logs: bool,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash)]
@@ -180,6 +182,30 @@
         }
         self.network.retain(|_, channel| !channel.is_empty());
         self.check_leases();
+        self.check_logs();
+    }
+
+    /// A process that starts without a leader reads the logs of a majority of the voters: one of them
+    /// must hold what was committed, whether or not it knows that.
+    fn check_logs(&mut self) {
+        if !self.remaining.reads_logs {
+            return;
+        }
+        let holds = |node: &Node<R>, entry: &Entry| {
+            let log = &node.disk.1;
+            log.snapshot.index >= entry.index || log.get(entry.index) == Some(entry)
+        };
+        let is_hidden = |(_, entry): &(Term, Entry)| {
+            self.nodes.values().any(|node| {
+                let voters = &node.core.membership().voters;
+                let members = voters.iter().filter_map(|id| self.nodes.get(id));
+                let holders = members.filter(|member| holds(member, entry)).count();
+                voters.len() - holders > voters.len() / 2
+            })
+        };
+        if self.committed.values().any(is_hidden) {
+            self.violation = Some("a majority lacks a committed entry");
+        }
     }
 
     fn check_leases(&mut self) {
@@ -545,6 +571,18 @@
     explore(model, max_states())
 }
 
+/// As [`learners`], with [`Bounds::reads_logs`].
+fn logs_of_majorities<R: Rules + Copy + Eq + Hash>() -> Explored {
+    let bounds = Bounds {
+        elections: 1,
+        reads_logs: true,
+        ..Bounds::default()
+    };
+    let mut model = Model::<R>::bootstrap(&[4, 5], bounds, NO_TIMEOUTS);
+    model.elect(id(1), id(2));
+    explore(model, max_states())
+}
+
 fn leases<R: Rules + Copy + Eq + Hash>(lease_ms: u64) -> Explored {
     let timing = Timing { lease_ms, ..TIMING };
     let mut model = Model::<R>::bootstrap(&[], Bounds::default(), timing);
@@ -624,6 +662,23 @@
     );
 }
 
+/// Guards against a process that starts without a leader and cannot find an acknowledged document in
+/// the logs of a majority.
+#[test]
+fn the_logs_of_each_majority_hold_what_is_committed() {
+    let explored = logs_of_majorities::<Production>();
+    assert_holds("logs of majorities", &explored, 10_000);
+}
+
+#[test]
+fn a_committed_entry_that_a_majority_lacks_is_detected() {
+    assert_detected(
+        "logs of majorities",
+        &logs_of_majorities::<CountsLearners>(),
+        "a majority lacks a committed entry",
+    );
+}
+
 #[test]
 fn leases_are_safe() {
     assert_holds("leases", &leases::<Production>(TIMING.lease_ms), 10_000);
