Move the fetching of cached state to a file of its own, and name both sets of holders

control_view.rs had grown by a fifth, and a flag chose between agents that hold a record and those that are asked for it. No change of behaviour. Known red: a test that failed once while half a gigabyte was copied on the disk that its control instance opened its log on.

--- a/src/control_view/catch_up.rs
+++ b/src/control_view/catch_up.rs
@@ -11,7 +11,10 @@
 //! | never confirmed, with a cached document | all, first for everything, then for the latest |
 //! | never confirmed, without a document | nobody: the process has yet to fetch one |
 
-use super::{PeekTask, View, ViewUpdate, document_choice};
+use super::{
+    View, ViewUpdate, document_choice,
+    peek::{self, PeekTask},
+};
 use crate::{
     clock,
     control::{ControlClient, departures::Departure, rpc::*, state::AcceptedDocument},
@@ -140,7 +143,7 @@
         drop(view);
         pending.retain(|document| possible.contains(&document.version));
         let holders = clients.iter().zip(&holdings);
-        let possible = super::fetch_possible(&possible, pending, holders).await;
+        let possible = peek::fetch_possible(&possible, pending, holders).await;
         merge_possible(possible.unwrap_or_default(), actor).await;
         if let Some(document) = newest {
             tracing::info!(version = %document.version, "view: fetched a newer document");
--- a/src/gateway/targets/stream_versions.rs
+++ b/src/gateway/targets/stream_versions.rs
@@ -37,7 +37,7 @@
             }
             streams.records.record(key, version.clone(), now_ms);
         }
-        for agent in key.holders(self.agents().into_iter(), false) {
+        for agent in key.holders(self.agents().into_iter()) {
             self.admission_links
                 .record_stream(agent, key, version.clone());
         }
@@ -95,7 +95,7 @@
 
     /// Asks agents for the version that began a stream.
     async fn recall_stream(&self, key: StreamKey) -> Option<TargetVersion> {
-        let holders = key.holders(self.agents().into_iter(), true).into_iter();
+        let holders = key.asked_holders(self.agents().into_iter()).into_iter();
         let mut replies: FuturesUnordered<_> = holders
             .map(|agent| self.admission_links.recall_stream(agent, key))
             .collect();
--- a/src/stream_version.rs
+++ b/src/stream_version.rs
@@ -45,17 +45,26 @@
         Self(hash(attempt_id))
     }
 
-    /// The agents that the record of the stream is sent to, or that are asked for it.
-    pub fn holders(
+    /// The agents that the record of the stream is sent to.
+    pub fn holders(self, agents: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+        self.first_agents(agents, HOLDERS)
+    }
+
+    /// The agents that are asked for the record of the stream.
+    pub fn asked_holders(self, agents: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+        self.first_agents(agents, ASKED_HOLDERS)
+    }
+
+    fn first_agents(
         self,
         agents: impl Iterator<Item = SocketAddr>,
-        are_asked: bool,
+        count: usize,
     ) -> Vec<SocketAddr> {
         let mut agents: Vec<SocketAddr> = agents.collect();
         agents.sort_unstable();
         agents.dedup();
         agents.sort_by_cached_key(|agent| hash((self, agent)));
-        agents.truncate(if are_asked { ASKED_HOLDERS } else { HOLDERS });
+        agents.truncate(count);
         agents
     }
 }
--- a/tests/stream_version.rs
+++ b/tests/stream_version.rs
@@ -115,12 +115,12 @@
         key: u64, before: Vec<u8>, added: u8, lost: u8
     ) -> bool {
         let key = StreamKey(key);
-        let holders = key.holders(agents(&before), false);
+        let holders = key.holders(agents(&before));
         let mut after = before.clone();
         after.reverse();
         after.retain(|number| *number != lost);
         after.push(added);
-        let asked = key.holders(agents(&after), true);
+        let asked = key.asked_holders(agents(&after));
         let is_lost = |holder: &SocketAddr| *holder == SocketAddr::from(([127, 0, 0, lost], 1));
         holders.iter().all(is_lost) || holders.iter().any(|holder| asked.contains(holder))
     }
