Review, case 15: an engine that has left gets new requests

From an entry of KNOWN-RED.txt: an entry of another writer replaces the tombstone of a withdrawn run, and a late heartbeat then lists the run.

--- a/review/common-3/harness.rs
+++ b/review/common-3/harness.rs
@@ -794,22 +794,35 @@
         engine
     }
 
-    /// One heartbeat; returns whether it was acknowledged.
-    pub fn beat(&self, control: &[SocketAddr]) -> bool {
-        let body = format!(
-            r#"{{"service":"{}","address":"{}","zone":"be-east-a","version":"{}","max_concurrency":{},"state":"{}","warmup_left_ms":0,"phase":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"seq":{},"born":{}}}"#,
-            self.service,
+    fn heartbeat(&self, service: &str, sequence: u64, born: u64) -> String {
+        format!(
+            r#"{{"service":"{service}","address":"{}","zone":"be-east-a","version":"{}","max_concurrency":{},"state":"{}","warmup_left_ms":0,"phase":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"seq":{sequence},"born":{born}}}"#,
             self.address,
             self.version,
             self.slots,
             *self.state.lock().unwrap(),
-            self.sequence.fetch_add(1, Ordering::Relaxed),
-            self.born.load(Ordering::Relaxed)
-        );
+        )
+    }
+
+    /// One heartbeat; returns whether it was acknowledged.
+    pub fn beat(&self, control: &[SocketAddr]) -> bool {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let body = self.heartbeat(&self.service, sequence, self.born.load(Ordering::Relaxed));
         let answer = call_control(control, "PUT", &format!("/instances/{}", self.id), &body);
         answer.is_some_and(|answer| answer.status() == 200)
     }
 
+    /// The body of a heartbeat of this run with an earlier sequence number, as one that is late has.
+    pub fn late_heartbeat(&self) -> String {
+        let sequence = self.sequence.load(Ordering::Relaxed).saturating_sub(1);
+        self.heartbeat(&self.service, sequence, self.born.load(Ordering::Relaxed))
+    }
+
+    /// The body of an entry of another writer under this engine's id, for another service.
+    pub fn foreign_entry(&self, service: &str) -> String {
+        self.heartbeat(service, 1, unix_ms())
+    }
+
     /// Says that it is draining, until that is acknowledged.
     pub fn drain(&self, control: &[SocketAddr]) -> bool {
         *self.state.lock().unwrap() = "draining";
