Say what was known of the version of a stream that a caller took up

Change: a counter by evidence and choice, and a log line for each stream that is taken up, with the evidence, the versions known, the time that the question took and the age of the view. What is chosen is unchanged.

--- a/src/gateway/targets/stream_versions.rs
+++ b/src/gateway/targets/stream_versions.rs
@@ -60,12 +60,29 @@
             let record = key.and_then(|key| streams.records.find(key, now_ms).cloned());
             (streams.history.versions(&incoming.service), record)
         };
+        let mut evidence = match record {
+            Some(_) => "own-record",
+            None => "not-asked",
+        };
         if versions.len() > 1
             && let (Some(key), None) = (key, &record)
         {
-            record = self.recall_stream(key).await;
+            (record, evidence) = self.recall_stream(key).await;
         }
         let choice = stream_version::choose(record.as_ref(), &versions, unix_ms());
+        metrics::gateway_stream_taken_up(&incoming.service, evidence, choice.label());
+        tracing::info!(
+            request = incoming.id,
+            resumes = incoming.metadata.resumes,
+            after = incoming.metadata.resume_after,
+            evidence,
+            recorded = record.as_ref().map(tracing::field::display),
+            versions = versions.len(),
+            choice = ?choice,
+            asked_ms = clock::boot_ms() - now_ms,
+            view_age_ms = view.age_ms(now_ms),
+            "gateway: stream taken up"
+        );
         let refuse = |message: String| {
             tracing::warn!(
                 request = incoming.id,
@@ -93,22 +110,27 @@
         }
     }
 
-    /// Asks agents for the version that began a stream.
-    async fn recall_stream(&self, key: StreamKey) -> Option<TargetVersion> {
+    /// Asks agents for the version that began a stream. Says besides what came of it: "recorded", "not
+    /// recorded" by any of them, or "unanswered", if one of them did not answer.
+    async fn recall_stream(&self, key: StreamKey) -> (Option<TargetVersion>, &'static str) {
         let holders = key.asked_holders(self.agents().into_iter()).into_iter();
         let mut replies: FuturesUnordered<_> = holders
             .map(|agent| self.admission_links.recall_stream(agent, key))
             .collect();
         let first_record = async {
+            let mut evidence = "not-recorded";
             while let Some(reply) = replies.next().await {
-                if let Ok(Some(version)) = reply {
-                    return Some(version);
+                match reply {
+                    Ok(Some(version)) => return (Some(version), "recorded"),
+                    Ok(None) => {}
+                    Err(_) => evidence = "unanswered",
                 }
             }
-            None
+            (None, evidence)
         };
         let limit = Duration::from_millis(RECALL_TIMEOUT_MS);
-        timeout(limit, first_record).await.ok().flatten()
+        let recalled = timeout(limit, first_record).await;
+        recalled.unwrap_or((None, "unanswered"))
     }
 
     /// The agents beside the targets of model services.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -256,6 +256,11 @@
     "guavacove.gateway.handovers",
     "Silences of targets that requests waited for, by service and outcome"
 );
+counter!(
+    GATEWAY_TAKEN_UP_STREAMS,
+    "guavacove.gateway.taken_up_streams",
+    "Streams that callers took up, by service, evidence of the version that began them, and choice"
+);
 counter!(
     GATEWAY_REPEATS,
     "guavacove.gateway.repeats",
@@ -487,6 +492,19 @@
     GATEWAY_HANDOVERS.add(1, &[service, KeyValue::new("outcome", outcome)]);
 }
 
+/// Counts a stream that its caller took up: what was known of the version that began it, and where it
+/// may go on.
+pub fn gateway_stream_taken_up(
+    service: &ServiceName,
+    evidence: &'static str,
+    choice: &'static str,
+) {
+    let service = KeyValue::new("service", service.0.clone());
+    let evidence = KeyValue::new("evidence", evidence);
+    let choice = KeyValue::new("choice", choice);
+    GATEWAY_TAKEN_UP_STREAMS.add(1, &[service, evidence, choice]);
+}
+
 /// Counts a stream that ended early; `why` is `broken`, `silent`, `deadline` or `caller-left`.
 pub fn gateway_stream_aborted(service: &ServiceName, why: &'static str) {
     let service = KeyValue::new("service", service.0.clone());
--- a/src/stream_version.rs
+++ b/src/stream_version.rs
@@ -86,6 +86,17 @@
     Refused,
 }
 
+impl StreamChoice {
+    /// Label of the metric.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Any => "any",
+            Self::Only(_) => "only",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// Chooses the targets for a stream, from its record and the versions of its service, each with the
 /// time at which the first of its targets started.
 pub fn choose(
