Name the holders of a record by a hash that every build computes alike

Cause: the keys of streams and the order of agents came from the standard library's hasher, whose values may differ between compilers. Gateways and agents of two builds side by side would ask other agents than the records were sent to, and the streams would be refused.

Change: SipHash 1-3 from the library siphasher, over bytes whose order is fixed.

--- a/src/stream_records.rs
+++ b/src/stream_records.rs
@@ -13,10 +13,11 @@
     stream_version::RECORD_MS,
     units::{ServiceName, TargetVersion},
 };
+use siphasher::sip::SipHasher13;
 use std::{
     collections::{BTreeSet, HashMap, VecDeque, hash_map::Entry},
-    hash::{DefaultHasher, Hash, Hasher},
-    net::SocketAddr,
+    hash::Hasher,
+    net::{IpAddr, SocketAddr},
 };
 
 /// Maximum number of records of an agent, and of streams of a gateway.
@@ -34,16 +35,29 @@
 impl StreamKey {
     /// The key of a stream that an attempt with this id began.
     pub fn of(attempt_id: &str) -> Self {
-        Self(hash(attempt_id))
+        Self(hash(&[attempt_id.as_bytes()]))
     }
 }
 
-fn hash(value: impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
+/// The same in every build: gateways and agents of several builds run side by side.
+fn hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    for part in parts {
+        hasher.write(part);
+    }
     hasher.finish()
 }
 
+/// Orders the agents for a stream.
+fn rank(key: StreamKey, agent: SocketAddr) -> u64 {
+    let ip = match agent.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+        IpAddr::V6(ip) => ip,
+    };
+    let port = agent.port().to_le_bytes();
+    hash(&[&key.0.to_le_bytes(), &ip.octets(), &port])
+}
+
 /// The agents that may hold records.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RecordAgents {
@@ -89,7 +103,7 @@
     count: usize,
 ) -> Vec<SocketAddr> {
     let mut agents: Vec<(u64, SocketAddr)> =
-        agents.map(|agent| (hash((key, agent)), agent)).collect();
+        agents.map(|agent| (rank(key, agent), agent)).collect();
     if agents.len() > count {
         agents.select_nth_unstable(count);
         agents.truncate(count);
