Ask a leader whether a service has another version before a stream goes on

Callers could see events of two versions: a gateway whose view lacks a new version let streams of that version go on at the one that it knew, if their records were lost with the gateway that began them.

Cause: a view up to a second old was taken for complete. The model check found it: a target of v3 starts, gateway 2 restarts and lists it, a stream begins there, gateway 2 restarts, gateway 0, whose view has v1 only, takes the stream up.

Change: a gateway that knows one version renews its view at once and waits up to 250 ms until a leader has confirmed it since the stream was taken up; agents are asked meanwhile. Without a leader no target of another version is listed, so the stream goes on then. The model lets views lag, and `taking_a_recent_view_for_complete_is_detected` keeps the earlier decision as one that it must detect.

--- a/src/control_view.rs
+++ b/src/control_view.rs
@@ -141,6 +141,9 @@
     suspect_sender: watch::Sender<SuspectReports>,
     rollout_counts: Arc<Mutex<Vec<RolloutCounts>>>,
     rollout_failures: watch::Sender<u64>,
+    /// When a leader last confirmed the view.
+    confirmed: watch::Receiver<u64>,
+    confirmation_wanted: Arc<Notify>,
     client: Arc<ControlClient>,
 }
 
@@ -154,7 +157,13 @@
         let (suspect_sender, suspects) = watch::channel(SuspectReports::default());
         let rollout_counts = Arc::new(Mutex::new(Vec::new()));
         let (rollout_failures, rollout_failures_seen) = watch::channel(0);
-        let arguments = (Arc::clone(&view), version_sender);
+        let (confirmed_sender, confirmed) = watch::channel(0);
+        let confirmation_wanted = Arc::new(Notify::new());
+        let publisher = ViewPublisher {
+            view: Arc::clone(&view),
+            versions: version_sender,
+            confirmed: confirmed_sender,
+        };
         let load = Arc::new(Mutex::new(ProcessLoad::default()));
         let demand = Arc::new(Mutex::new(Demand::default()));
         let renewal_task = RenewalTask {
@@ -168,9 +177,10 @@
             rollout_counts: Arc::clone(&rollout_counts),
             rollout_failures: rollout_failures_seen,
             leader_found: Arc::default(),
+            confirmation_wanted: Arc::clone(&confirmation_wanted),
         };
         threads::spawn_control("control-view", async move {
-            match Actor::spawn(None, ViewActor, arguments).await {
+            match Actor::spawn(None, ViewActor, publisher).await {
                 Ok((actor, _)) => renewal_task.run(actor).await,
                 Err(error) => tracing::error!("view: failed to start the actor: {error}"),
             }
@@ -185,6 +195,8 @@
             suspect_sender,
             rollout_counts,
             rollout_failures,
+            confirmed,
+            confirmation_wanted,
             client,
         }
     }
@@ -256,6 +268,17 @@
             .is_ok_and(|r| r.is_ok())
     }
 
+    /// Renews the view and waits until a leader has confirmed it as it was at this time or later;
+    /// returns whether one has.
+    pub async fn confirm_since(&self, since_ms: u64, limit: Duration) -> bool {
+        let mut confirmed = self.confirmed.clone();
+        self.confirmation_wanted.notify_one();
+        let is_confirmed = confirmed.wait_for(|at_ms| *at_ms >= since_ms);
+        tokio::time::timeout(limit, is_confirmed)
+            .await
+            .is_ok_and(|confirmed| confirmed.is_ok())
+    }
+
     /// Deregisters from the control group.
     pub async fn deregister(&self) {
         let member = self.registration_sender.borrow().clone();
@@ -311,6 +334,7 @@
     rollout_counts: Arc<Mutex<Vec<RolloutCounts>>>,
     rollout_failures: watch::Receiver<u64>,
     leader_found: Arc<Notify>,
+    confirmation_wanted: Arc<Notify>,
 }
 
 impl RenewalTask {
@@ -362,6 +386,10 @@
                     wait_ms = 0;
                     continue;
                 }
+                () = self.confirmation_wanted.notified(), if wait_ms > 0 => {
+                    wait_ms = 0;
+                    continue;
+                }
                 // A call that the leader does not hold is not cut short: it brings what is new, and
                 // changes here may come faster than replies.
                 changed = self.registration.changed(), if wait_ms > 0 => match changed {
@@ -450,7 +478,12 @@
 /// The actor that merges replies into the view.
 struct ViewActor;
 
-type ViewPublisher = (Arc<ArcSwap<View>>, watch::Sender<DocumentVersion>);
+/// Where the view is published.
+struct ViewPublisher {
+    view: Arc<ArcSwap<View>>,
+    versions: watch::Sender<DocumentVersion>,
+    confirmed: watch::Sender<u64>,
+}
 
 impl Actor for ViewActor {
     type Msg = ViewUpdate;
@@ -469,9 +502,9 @@
         &self,
         _myself: ActorRef<Self::Msg>,
         update: Self::Msg,
-        (view, versions): &mut Self::State,
+        publisher: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
-        let mut next = View::clone(&view.load());
+        let mut next = View::clone(&publisher.view.load());
         let (is_merged, done) = match update {
             ViewUpdate::Reply {
                 reply,
@@ -492,9 +525,11 @@
             }
         };
         if is_merged {
-            let version = next.policy.version;
-            view.store(Arc::new(next));
+            let (version, confirmed_ms) = (next.policy.version, next.confirmed_ms);
+            publisher.view.store(Arc::new(next));
+            let versions = &publisher.versions;
             versions.send_if_modified(|current| std::mem::replace(current, version) != version);
+            publisher.confirmed.send_replace(confirmed_ms);
         }
         let _ = done.send(());
         Ok(())
--- a/src/gateway/targets/stream_versions.rs
+++ b/src/gateway/targets/stream_versions.rs
@@ -3,20 +3,20 @@
 
 use super::*;
 use crate::{
-    control_view::catch_up::MAX_RENEWAL_AGE_MS,
     gateway::incoming_request::IncomingRequest,
     stream_records::{GatewayStreams, RecordAgents, SentRecord, StreamKey},
     stream_version::{self, Evidence, StreamChoice, VersionHistory},
 };
 use futures::{StreamExt, stream::FuturesUnordered};
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, pin::pin};
 use tokio::time::timeout;
 
 /// Maximum time to wait for agents if several versions are known: the time to connect and to be
 /// answered by instances with a small share of a processor.
 const RECALL_TIMEOUT_MS: u64 = 1000;
-/// The same if one version is known: then a record only tells of a version that is not known yet.
-const SHORT_RECALL_TIMEOUT_MS: u64 = 250;
+/// The same if one version is known, and to wait for a leader to confirm that there is no other: without
+/// a leader no target of another version is listed.
+const CONFIRMATION_TIMEOUT_MS: u64 = 250;
 /// `Retry-After` of a stream that can go on nowhere at present.
 const STREAM_RETRY_AFTER_MS: u64 = 1000;
 /// `Retry-After` of a stream of which an agent may yet tell the version.
@@ -134,26 +134,11 @@
         let key = stream_key(incoming);
         let now_ms = clock::boot_ms();
         let view = self.view.load();
-        let (versions, own) = {
-            let mut streams = self.stream_versions();
-            streams.history.observe(view.targets.values(), now_ms);
-            streams.history.observe_committed(&view.versions, now_ms);
-            let own = key.and_then(|key| streams.streams.version(key).cloned());
-            (streams.history.versions(&incoming.service), own)
-        };
-        let view_age_ms = view.age_ms(now_ms);
-        let is_recent = view_age_ms.is_some_and(|age_ms| age_ms < MAX_RENEWAL_AGE_MS);
-        let evidence = match (own, key) {
-            (Some(version), _) => Evidence::Began(version),
-            (None, None) => Evidence::NotAsked,
-            (None, Some(_)) if versions.len() == 1 && is_recent => Evidence::NotAsked,
-            (None, Some(key)) => {
-                let limit_ms = match versions.len() {
-                    1 => SHORT_RECALL_TIMEOUT_MS,
-                    _ => RECALL_TIMEOUT_MS,
-                };
-                self.recall_stream(key, limit_ms).await
-            }
+        let own = key.and_then(|key| self.stream_versions().streams.version(key).cloned());
+        let (evidence, versions) = match (own, key) {
+            (Some(version), _) => (Evidence::Began(version), BTreeSet::new()),
+            (None, None) => (Evidence::NotAsked, self.known_versions(&incoming.service)),
+            (None, Some(key)) => self.recall_or_confirm(key, &incoming.service, now_ms).await,
         };
         let choice = stream_version::choose(&evidence, &versions);
         metrics::gateway_stream_taken_up(&incoming.service, evidence.label(), choice.label());
@@ -165,7 +150,7 @@
             versions = versions.len(),
             choice = ?choice,
             asked_ms = clock::boot_ms() - now_ms,
-            view_age_ms,
+            view_age_ms = view.age_ms(now_ms),
             "gateway: stream taken up"
         );
         let refuse = |message: String, retry_after_ms| {
@@ -203,6 +188,50 @@
         }
     }
 
+    /// Asks agents for the version that began a stream. If one version is known, asks a leader at the
+    /// same time whether there is no other one.
+    async fn recall_or_confirm(
+        &self,
+        key: StreamKey,
+        service: &ServiceName,
+        now_ms: u64,
+    ) -> (Evidence, BTreeSet<TargetVersion>) {
+        if self.known_versions(service).len() == 1 {
+            let limit = Duration::from_millis(CONFIRMATION_TIMEOUT_MS);
+            let confirmed = self.view.confirm_since(now_ms, limit);
+            let recalled = self.recall_stream(key, CONFIRMATION_TIMEOUT_MS);
+            let (mut confirmed, mut recalled) = (pin!(confirmed), pin!(recalled));
+            let evidence = tokio::select! {
+                evidence = recalled.as_mut() => match evidence {
+                    Evidence::Began(_) => evidence,
+                    _ => {
+                        confirmed.await;
+                        evidence
+                    }
+                },
+                is_confirmed = confirmed.as_mut() => match is_confirmed {
+                    true if self.known_versions(service).len() == 1 => Evidence::NotAsked,
+                    _ => recalled.await,
+                },
+            };
+            let versions = self.known_versions(service);
+            if versions.len() == 1 || matches!(evidence, Evidence::Began(_)) {
+                return (evidence, versions);
+            }
+        }
+        let evidence = self.recall_stream(key, RECALL_TIMEOUT_MS).await;
+        (evidence, self.known_versions(service))
+    }
+
+    /// The versions of a service, as this gateway knows now.
+    fn known_versions(&self, service: &ServiceName) -> BTreeSet<TargetVersion> {
+        let (view, now_ms) = (self.view.load(), clock::boot_ms());
+        let mut streams = self.stream_versions();
+        streams.history.observe(view.targets.values(), now_ms);
+        streams.history.observe_committed(&view.versions, now_ms);
+        streams.history.versions(service)
+    }
+
     /// Asks agents for the version that began a stream.
     async fn recall_stream(&self, key: StreamKey, limit_ms: u64) -> Evidence {
         let asked = self.record_agents().asked(key).into_iter();
--- a/tests/stream_records.rs
+++ b/tests/stream_records.rs
@@ -219,7 +219,7 @@
 const GATEWAYS: usize = 3;
 /// Time after a break, or after its target is no longer listed, in which a stream is taken up.
 const CALLER_WAITS_MS: u64 = RECORD_MS / 2;
-/// Age of a view from which on a gateway asks agents although it knows of one version.
+/// Age of a view up to which [`Rule::RecentView`] takes it for complete.
 const RECENT_MS: u64 = 1000;
 /// Number of random series of a check, and of steps in each.
 const SERIES: u64 = 4000;
@@ -236,6 +236,8 @@
     FirstVersion,
     /// A gateway knows only the versions that it has seen itself.
     OwnVersions,
+    /// A gateway that knows one version asks nobody if its view is recent.
+    RecentView,
 }
 
 #[derive(Default)]
@@ -374,13 +376,18 @@
 
     /// What a gateway learns of the beginning of a stream; the bits of `answers` tell which agents
     /// answer, and all do if it is large.
-    fn evidence(&self, number: usize, key: StreamKey, answers: u8) -> Evidence {
-        let gateway = &self.gateways[number];
-        if let Some(version) = gateway.streams.version(key) {
+    fn evidence(&mut self, number: usize, key: StreamKey, answers: u8) -> Evidence {
+        let has_one = |gateway: &Gateway| gateway.history.versions(&"s".into()).len() == 1;
+        if let Some(version) = self.gateways[number].streams.version(key) {
             return Evidence::Began(version.clone());
         }
-        let is_recent = self.now_ms < gateway.synced_ms + RECENT_MS;
-        if gateway.history.versions(&"s".into()).len() == 1 && is_recent {
+        let is_recent = self.now_ms < self.gateways[number].synced_ms + RECENT_MS;
+        // A leader confirms that there is no other version.
+        if has_one(&self.gateways[number]) && self.rule != Rule::RecentView {
+            self.sync(number);
+        }
+        let gateway = &self.gateways[number];
+        if has_one(gateway) && (is_recent || self.rule != Rule::RecentView) {
             return Evidence::NotAsked;
         }
         let asked = gateway.agents().asked(key).into_iter().enumerate();
@@ -580,3 +587,17 @@
     let mixed = check(Rule::OwnVersions, false).expect_err("a stream is mixed");
     println!("{mixed:?}");
 }
+
+#[test]
+fn taking_a_recent_view_for_complete_is_detected() {
+    let mixed = check(Rule::RecentView, true).expect_err("a stream is mixed");
+    println!("{mixed:?}");
+}
+
+/// Guards against a gateway that lets a stream of a version that started since its last renewal go on at
+/// the one that it knows.
+#[test]
+fn no_stream_is_mixed_while_views_lag() {
+    let (went_on, refused) = check(Rule::Present, true).expect("no stream is mixed");
+    assert!(went_on > 500 && refused > 500, "{went_on}, {refused}");
+}
