Settle when more versions of a service are listed than are recorded

Cause: with 17 versions of a service the state dropped the oldest, which the leader proposed again, and so on: a command in the log every 200 ms without an end. Announcements of other writers may name any number of versions.

Change: what exceeds the bound is not recorded; the service counts as one with several versions anyway. `more_versions_than_are_kept_settle` failed before. `recorded_versions_are_bounded` wanted the latest 16 versions to be kept, which is what never settled; it now wants the first 16, and room for another once one is gone.

--- a/src/stream_version.rs
+++ b/src/stream_version.rs
@@ -15,8 +15,7 @@
 //! The versions are those that the control group has committed ([`ServiceVersions`]) and those that
 //! this process has seen; both count for [`RECORD_MS`] after their last target is gone.
 //!
-//! It serves gateways, which take streams up that another attempt began, and the agents of entries,
-//! which ask a target for the rest of a response.
+//! It serves gateways, which take up streams that another attempt began.
 
 use crate::{
     control::directory::TargetEntry,
@@ -27,10 +26,10 @@
 
 /// Time for which the version of a stream is kept: longer than callers wait for a stream.
 pub const RECORD_MS: u64 = 60_000;
-/// Maximum number of versions of a service; the oldest is forgotten. Targets of other writers may
-/// state any.
+/// Maximum number of versions of a service that are recorded: writers of other announcements may state
+/// any number.
 const MAX_VERSIONS: usize = 16;
-/// Maximum number of services.
+/// Maximum number of services of which versions are recorded.
 const MAX_SERVICES: usize = 1024;
 
 /// What is known of the version that began a stream.
@@ -114,14 +113,10 @@
 impl ServiceVersions {
     /// Applies a change.
     pub fn apply(&mut self, change: VersionChange) {
-        let is_room = self.0.contains_key(&change.service) || self.0.len() < MAX_SERVICES;
         match change.runs {
-            true if is_room && !self.covers(&change.service, &change.version) => {
+            true if self.lacks(&change.service, &change.version) => {
                 let versions = self.0.entry(change.service).or_default();
                 versions.push(change.version);
-                if versions.len() > MAX_VERSIONS {
-                    versions.remove(0);
-                }
             }
             true => {}
             false => {
@@ -133,9 +128,12 @@
         }
     }
 
-    /// Whether the version of a service is recorded.
-    pub fn covers(&self, service: &ServiceName, version: &TargetVersion) -> bool {
-        self.of(service).contains(version)
+    /// Whether the version of a service is not recorded, and there is room for it.
+    fn lacks(&self, service: &ServiceName, version: &TargetVersion) -> bool {
+        match self.0.get(service) {
+            Some(versions) => versions.len() < MAX_VERSIONS && !versions.contains(version),
+            None => self.0.len() < MAX_SERVICES,
+        }
     }
 
     /// The versions of a service, the latest last.
@@ -162,7 +160,7 @@
             runs,
         };
         let seen = history.iter();
-        let new = seen.filter(|(service, version)| !self.covers(service, version));
+        let new = seen.filter(|(service, version)| self.lacks(service, version));
         let recorded = self.0.iter();
         let recorded = recorded
             .flat_map(|(service, versions)| versions.iter().map(move |version| (service, version)));
