Ask only the run that began a response for its rest

Cause: an agent of an entry that lost its target's response in the middle asked whatever is announced at the address for the rest. A target that had restarted, perhaps with another version of its software, was told from the earlier run only by not knowing the request.

Change: the decision for streams says so too: the rest comes from the announced run that began the response, or from one that is no longer announced and has not been replaced. It is the entry's side of the same class; no failure was seen there.

--- a/src/agent/announcement.rs
+++ b/src/agent/announcement.rs
@@ -1,7 +1,7 @@
 //! Announcement of a target to its agent, sent with `PUT /target` over loopback.
 
 use super::Capacity;
-use crate::{derives::record, units::*};
+use crate::{derives::record, stream_version::AnnouncedRun, units::*};
 use std::net::SocketAddr;
 
 /// Lease of an announcement; targets renew it once a second.
@@ -48,6 +48,14 @@
 }
 
 impl Announcement {
+    /// The run that it describes.
+    pub fn run(&self) -> AnnouncedRun {
+        AnnouncedRun {
+            version: self.version.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+
     /// The capacity for admission control; at least one slot.
     pub fn capacity(&self) -> Capacity {
         Capacity {
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -6,6 +6,7 @@
     gateway::events::EventBoundary,
     response_end::{self, ContentEnd, EndVerdict, Framing},
     response_head,
+    stream_version::may_ask_for_rest,
     target_run::{self, AddressCheck, Listing, RunAfter, RunStatement, TargetRun},
     telemetry,
     units::{RequestId, TargetName},
@@ -312,7 +313,7 @@
                 return Outcome::MayHaveRun;
             }
             ReadResult::Silent if failures < MAX_FAILURES => {
-                match resume(announcement, request, body.length).await {
+                match resume_same_run(announcement, &latest, request, body.length).await {
                     Ok(resumed) => {
                         framing = framing_of(&resumed);
                         (response, failures) = (resumed, 0);
@@ -322,7 +323,7 @@
             }
             _ if announcement.is_engine && failures < MAX_FAILURES => {
                 failures += 1;
-                match resume(announcement, request, body.length).await {
+                match resume_same_run(announcement, &latest, request, body.length).await {
                     Ok(resumed) => {
                         framing = framing_of(&resumed);
                         response = resumed;
@@ -488,6 +489,24 @@
     }
 }
 
+/// Like [`resume`], unless another run of the target has been announced since: what that one writes
+/// does not fit.
+async fn resume_same_run(
+    announcement: &Announcement,
+    latest: &impl Fn() -> Option<Arc<Announcement>>,
+    request: RequestId,
+    offset: u64,
+) -> Result<Response<Incoming>, CallError> {
+    let announced = latest().map(|latest| latest.run());
+    match may_ask_for_rest(&announcement.run(), announced.as_ref()) {
+        true => resume(announcement, request, offset).await,
+        false => {
+            tracing::warn!("agent: not resuming {request}, its target runs anew");
+            Err(CallError(Verdict::MayHaveRun))
+        }
+    }
+}
+
 /// Sends an order to the target; returns whether it was accepted.
 pub async fn send_order(address: SocketAddr, order: Request<Full<Bytes>>) -> bool {
     let response = timeout(
--- a/src/stream_version.rs
+++ b/src/stream_version.rs
@@ -15,7 +15,8 @@
 //! The versions are those that the control group has committed ([`ServiceVersions`]) and those that
 //! this process has seen; both count for [`RECORD_MS`] after their last target is gone.
 //!
-//! It serves gateways, which take up streams that another attempt began.
+//! It serves gateways, which take up streams that another attempt began, and the agents of entries,
+//! which ask a target for the rest of a response ([`may_ask_for_rest`]).
 
 use crate::{
     control::directory::TargetEntry,
@@ -93,7 +94,26 @@
     }
 }
 
+/// Returns whether the target at an address may be asked for the rest of a response: it is announced as
+/// the run that began the response, or no longer announced. Targets know the requests of their own
+/// run only, so what has not been replaced is safe to ask.
+pub fn may_ask_for_rest(began: &AnnouncedRun, latest: Option<&AnnouncedRun>) -> bool {
+    let choice = choose(&Evidence::Began(began.version.clone()), &BTreeSet::new());
+    latest.is_none_or(|latest| {
+        let is_same_run = latest.started_unix_ms == began.started_unix_ms;
+        is_same_run && choice.allows(&latest.version)
+    })
+}
+
 record! {
+    /// The run of a target, as far as the target announces it.
+    pub struct AnnouncedRun {
+        /// The version of its software; empty if it states none.
+        pub version: TargetVersion,
+        /// When it started, if it states that.
+        pub started_unix_ms: Option<u64>,
+    }
+
     /// A version of a service that its targets run, or no longer run.
     pub struct VersionChange {
         /// The service.
--- a/tests/stream_version.rs
+++ b/tests/stream_version.rs
@@ -9,7 +9,8 @@
     },
     request_limit::RequestLimit,
     stream_version::{
-        Evidence, RECORD_MS, ServiceVersions, StreamChoice, VersionChange, VersionHistory, choose,
+        AnnouncedRun, Evidence, RECORD_MS, ServiceVersions, StreamChoice, VersionChange,
+        VersionHistory, choose, may_ask_for_rest,
     },
     units::TargetVersion,
 };
@@ -271,3 +272,29 @@
     }
     assert_eq!(recorded.changes_to(&history), []);
 }
+
+macro_rules! rests {
+    ($($name:ident: $began:expr, $latest:expr => $may_ask:expr;)*) => {
+        $(
+            /// Guards against an agent that joins what two runs of a target wrote.
+            #[test]
+            fn $name() {
+                let run = |(version, started_unix_ms): (&str, Option<u64>)| AnnouncedRun {
+                    version: version.into(),
+                    started_unix_ms,
+                };
+                let latest: Option<(&str, Option<u64>)> = $latest;
+                assert_eq!(may_ask_for_rest(&run($began), latest.map(run).as_ref()), $may_ask);
+            }
+        )*
+    };
+}
+
+rests! {
+    the_same_run_is_asked_for_the_rest: ("v1", Some(5)), Some(("v1", Some(5))) => true;
+    a_run_that_states_nothing_is_asked_for_the_rest: ("", None), Some(("", None)) => true;
+    a_run_that_is_no_longer_announced_is_asked_for_the_rest: ("v1", Some(5)), None => true;
+    another_version_is_not_asked_for_the_rest: ("v1", None), Some(("v2", None)) => false;
+    a_later_run_is_not_asked_for_the_rest: ("v1", Some(5)), Some(("v1", Some(6))) => false;
+    a_run_that_states_its_start_only_now_is_not_asked_for_the_rest: ("v1", None), Some(("v1", Some(6))) => false;
+}
