Send records again when a service has several versions anew

Cause: while no service had several versions a gateway kept for which agents and services it had sent all records. If the same service got another version beside the same agents, the records of the streams that had begun in between were not sent. Found by review; no failure was seen.

Change: what was sent for is forgotten with the last service of several versions, and agents that were lost meanwhile are noted.

--- a/src/gateway/targets/stream_versions.rs
+++ b/src/gateway/targets/stream_versions.rs
@@ -95,12 +95,13 @@
             history.observe(view.targets.values(), now_ms);
             history.observe_committed(&view.versions, now_ms);
             let several = history.services_with_several();
-            if several.is_empty() {
-                return;
-            }
             for agent in &lost {
                 streams.lose_agent(*agent);
             }
+            if several.is_empty() {
+                *sent_for = Default::default();
+                return;
+            }
             let wanted = (self.record_agents(), several);
             if lost.is_empty() && wanted == *sent_for {
                 return;
