Close a link to an agent once its records have expired

Cause: whether a link was unused was decided before its task waited, so a link without further messages was never closed after it had carried a record. Found by review.

--- a/src/gateway/admission_links.rs
+++ b/src/gateway/admission_links.rs
@@ -348,7 +348,6 @@
     async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
         loop {
             let idle = Duration::from_millis(IDLE_TIMEOUT_MS);
-            let is_unused = self.pending.is_empty() && !self.has_records();
             let reply = async {
                 match &mut self.connection {
                     Some(connection) => connection.receiver.receive().await,
@@ -364,7 +363,11 @@
                     Some(message) => self.handle_message(message),
                     None => self.disconnect(),
                 },
-                () = tokio::time::sleep(idle), if is_unused => self.connection = None,
+                () = tokio::time::sleep(idle), if self.pending.is_empty() => {
+                    if !self.has_records() {
+                        self.connection = None;
+                    }
+                }
             }
         }
     }
