--- a/tests/stream_records.rs
+++ b/tests/stream_records.rs
@@ -386,7 +386,7 @@
             return Evidence::Confirmed;
         }
         // A leader may not answer.
-        if has_one(&self.gateways[number]) && answers % 4 > 0 {
+        if has_one(&self.gateways[number]) && !answers.is_multiple_of(4) {
             self.sync(number);
             if has_one(&self.gateways[number]) {
                 return Evidence::Confirmed;
