Directory: an entry for an unnamed service forgets no run of a target

Callers' requests went to a target that had withdrawn, and those in progress when it exited were cut. Before that, another writer's entry for a service that the document does not name had come under the target's name, and one of its announcements late.

Cause: one version was remembered under a name, whatever the service. The entry found no target listed, was listed itself, and its version took the place of the tombstone. As a target of a named service takes its name from such an entry whatever the versions, its next announcement was listed.

Now known_runs.rs remembers the versions under a name for each service. An announcement for a named service is compared with named services only and with what the log says of departures, so an entry without standing neither outranks a target nor makes it forgotten; it is not listed under a name that is remembered for a named service. A committed departure is remembered whatever is listed under the name, as a new leader's cache may list such an entry. The leaving of that entry is no longer taken over by the target.

The tests play entries before and after the document is known, with earlier and later starts, expired leases, and many services; the property of acknowledged departures has entries of other writers and sets the services, too.

--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -6,7 +6,7 @@
 //! withdrawal do not restore it.
 //!
 //! An entry for a service that the document in force does not name takes no place from a target, see
-//! [`super::precedence`].
+//! [`super::precedence`], and changes nothing that is known of its runs, see [`super::known_runs`].
 //!
 //! Another writer may announce a target under its name with a start time or a sequence number that
 //! the target never reaches. Once that entry is no longer listed, because its lease has expired or
@@ -15,6 +15,7 @@
 
 use super::{
     departures::{Departure, Return, Standing},
+    known_runs::KnownRuns,
     precedence::{NamedServices, Precedence},
     return_evidence::{REPEATED_RETURN_MS, RETURN_MS, ReturnEvidence},
     table::{Changes, Position, Table},
@@ -197,10 +198,7 @@
     services: NamedServices,
     table: Table<TargetName, TargetEntry>,
     by_address: HashMap<SocketAddr, TargetName>,
-    latest_versions: BTreeMap<TargetName, AnnouncementVersion>,
-    /// Targets that are not listed although they have not withdrawn, with the highest version
-    /// announced since then.
-    unlisted: BTreeMap<TargetName, Option<AnnouncementVersion>>,
+    known_runs: BTreeMap<TargetName, KnownRuns>,
     /// Targets that have withdrawn before they were known, and until when their announcements count
     /// as late ones.
     late_until: BTreeMap<TargetName, u64>,
@@ -253,21 +251,31 @@
     }
 
     /// Returns whether an entry changes nothing, as a target of a named service holds its name or its
-    /// address.
+    /// address, or a run of a named service is remembered under its name.
     pub fn yields(&self, entry: &TargetEntry) -> bool {
+        let listed = self.table.get(&entry.name);
+        let is_listed = listed.is_some_and(|listed| listed.service == entry.service);
+        let is_foreign = !is_listed && !self.services.contains(&entry.service);
         self.precedence(entry).contains(&Precedence::Yields)
+            || is_foreign && self.remembers_standing(&entry.name)
+    }
+
+    /// Returns whether a run of a named service is remembered under this name, listed or not.
+    fn remembers_standing(&self, name: &TargetName) -> bool {
+        let known = self.known_runs.get(name);
+        known.is_some_and(|known| known.have_standing(&self.services))
     }
 
     /// Every target with its latest sequence number, for [`Self::from_announcements`].
     pub fn announcements(&self) -> Vec<TargetAnnouncement> {
-        let sequence = |name| {
-            self.latest_versions
-                .get(name)
-                .map_or(0, |version| version.sequence)
+        let sequence = |entry: &TargetEntry| {
+            let known = self.known_runs.get(&entry.name);
+            let version = known.and_then(KnownRuns::listed);
+            version.map_or(0, |version| version.sequence)
         };
         let targets = self.table.values();
         let announcements = targets.map(|entry| TargetAnnouncement {
-            sequence: sequence(&entry.name),
+            sequence: sequence(entry),
             entry: entry.clone(),
         });
         announcements.collect()
@@ -288,11 +296,11 @@
             return false;
         }
         let [for_name, for_address] = self.precedence(&entry);
-        let known = self.latest_versions.get(&entry.name);
-        let known = known.filter(|_| for_name == Precedence::ByVersion);
-        let is_repeated = known == Some(&version);
-        if known.is_some_and(|known| version <= *known)
-            && (is_repeated || !self.is_second_while_unlisted(&entry.name, version))
+        let known = self.known_runs.get(&entry.name);
+        let known = known.and_then(|known| known.latest_for(&entry.service, &self.services));
+        let is_repeated = known == Some(version);
+        if known.is_some_and(|known| version <= known)
+            && (is_repeated || !self.is_second_while_unlisted(&entry, version))
         {
             let is_of_listed_run = |listed: &TargetEntry| {
                 listed.started_unix_ms == entry.started_unix_ms && !listed.leaving
@@ -314,8 +322,9 @@
                 if for_address == Precedence::ByVersion
                     && started_unix_ms > entry.started_unix_ms =>
             {
-                self.add_tombstone(entry.name.clone(), version);
-                self.unlisted.insert(entry.name, None);
+                let known = self.known_runs.entry(entry.name.clone()).or_default();
+                known.pass_over(&entry.service, version, &self.services);
+                self.add_tombstone(entry.name);
                 return false;
             }
             Some((replaced, _)) => {
@@ -323,13 +332,16 @@
                     target = %replaced, successor = %entry.name,
                     "control: target replaced at its address"
                 );
+                self.note_absence(&replaced);
                 self.remove_entry(&replaced);
-                self.unlisted.insert(replaced.clone(), None);
                 self.tombstones.push_back(replaced);
             }
             None => {}
         }
+        // An entry of another writer is no earlier announcement of this run.
+        let is_own = for_name == Precedence::ByVersion;
         if let Some(known) = self.table.get(&entry.name)
+            && is_own
             && known.started_unix_ms == entry.started_unix_ms
         {
             let (is_leaving, own) = (known.leaving, entry.clone());
@@ -342,6 +354,7 @@
             }
         }
         if let Some(known) = self.table.get(&entry.name)
+            && is_own
             && known.started_unix_ms == entry.started_unix_ms
         {
             entry.leaving |= known.leaving;
@@ -349,8 +362,8 @@
                 entry.limit = known.limit;
             }
         }
-        self.latest_versions.insert(entry.name.clone(), version);
-        self.unlisted.remove(&entry.name);
+        let known = self.known_runs.entry(entry.name.clone()).or_default();
+        known.list(&entry.service, version, &self.services);
         if !entry.leaving {
             self.returning.remove(&entry.name);
             self.repeated_withdrawals.remove(&entry.name);
@@ -363,22 +376,30 @@
     /// above that of an earlier one since then.
     fn is_second_while_unlisted(
         &mut self,
-        name: &TargetName,
+        entry: &TargetEntry,
         version: AnnouncementVersion,
     ) -> bool {
-        let is_listed = self.table.get(name).is_some();
-        let Some(latest) = self.unlisted.get_mut(name).filter(|_| !is_listed) else {
-            return false;
-        };
-        let is_second = latest.is_some_and(|latest| version > latest);
-        *latest = Some(latest.map_or(version, |latest| latest.max(version)));
-        is_second
+        let [for_name, _] = self.precedence(entry);
+        let is_listed = self.lists(&entry.name) && for_name != Precedence::Holds;
+        let known = self.known_runs.get_mut(&entry.name);
+        let known = known.filter(|_| !is_listed);
+        known.is_some_and(|known| known.is_second(&entry.service, version, &self.services))
+    }
+
+    /// Notes that a target is not listed any more, although it has not withdrawn.
+    fn note_absence(&mut self, name: &TargetName) {
+        if let Some(known) = self.known_runs.get_mut(name) {
+            known.note_absence();
+        }
     }
 
     /// Notes an announcement of a run that does not serve, although it says that it does.
     fn hear_departed(&mut self, announcement: TargetAnnouncement, now_ms: u64) {
         let name = announcement.entry.name.clone();
-        let is_yet_to_come = self.unlisted.contains_key(&name);
+        let (service, version) = (&announcement.entry.service, announcement.version());
+        let known = self.known_runs.get(&name);
+        let is_yet_to_come =
+            known.is_some_and(|known| known.are_absent_for(service, version, &self.services));
         if announcement.entry.leaving || is_yet_to_come || !self.has_departed(&name) {
             return;
         }
@@ -424,13 +445,14 @@
         }
         let is_removed = self.remove_entry(target);
         self.late_until.remove(target);
-        self.unlisted.remove(target);
         self.repeated_withdrawals.remove(target);
         let earlier = AnnouncementVersion {
             sequence: back.version.sequence.saturating_sub(1),
             ..back.version
         };
-        self.latest_versions.insert(target.clone(), earlier);
+        let mut known = KnownRuns::default();
+        known.raise(earlier, &self.services);
+        self.known_runs.insert(target.clone(), known);
         let evidence = self.returning.remove(target);
         let announcement = evidence.map(ReturnEvidence::into_announcement);
         is_removed | announcement.is_some_and(|announcement| self.announce(announcement, now_ms))
@@ -460,32 +482,29 @@
         let Departure {
             target, version, ..
         } = departure;
-        let known = self.latest_versions.get(target).copied();
+        let known = self.known_runs.get(target);
+        let known = known.and_then(|known| known.latest(&self.services));
+        let was_remembered = self.remembers_standing(target);
         let listed = self.table.get(target).map(|listed| {
             let standing = departure.standing(listed.started_unix_ms);
             (standing, listed.leaving)
         });
+        self.remember_departure(departure);
         match (listed, known) {
             (Some((Standing::Serving, _)), _) => false,
             (Some((Standing::Leaving, is_leaving)), _) => {
-                self.raise_version(target, *version);
                 if !is_leaving {
                     self.table.update(target, |entry| entry.leaving = true);
                 }
                 !is_leaving
             }
-            (Some((Standing::Withdrawn, _)), _) => {
-                self.raise_version(target, *version);
-                self.withdraw(target)
-            }
-            (None, Some(known)) if known >= *version => false,
+            (Some((Standing::Withdrawn, _)), _) => self.withdraw(target),
+            (None, Some(known)) if known >= *version && was_remembered => false,
             (None, _) if departure.has_withdrawn => {
-                self.raise_version(target, *version);
                 self.withdraw(target);
                 true
             }
             (None, _) => {
-                self.raise_version(target, *version);
                 self.table.record_removal(target);
                 true
             }
@@ -501,15 +520,24 @@
         self.late_until.insert(target.clone(), until_ms);
     }
 
-    fn raise_version(&mut self, target: &TargetName, version: AnnouncementVersion) {
-        let known = self.latest_versions.entry(target.clone());
-        let known = known.or_insert(version);
-        *known = (*known).max(version);
+    /// Remembers a committed departure, of whichever service the run is: what is listed under its name
+    /// may be an entry of another writer.
+    fn remember_departure(&mut self, departure: &Departure) {
+        let mut version = departure.version;
+        if departure.has_withdrawn {
+            version.sequence = u64::MAX;
+        }
+        let known = self.known_runs.entry(departure.target.clone());
+        known.or_default().raise(version, &self.services);
     }
 
-    /// Whether no run of a target is listed as ready.
+    /// Whether no run of a target is listed as ready. An entry for an unnamed service is no run of a
+    /// target that is remembered for a named one.
     pub fn has_departed(&self, target: &TargetName) -> bool {
-        self.table.get(target).is_none_or(|listed| listed.leaving)
+        self.table.get(target).is_none_or(|listed| {
+            let is_foreign = !self.services.contains(&listed.service);
+            listed.leaving || is_foreign && self.remembers_standing(target)
+        })
     }
 
     /// Whether a target is listed.
@@ -519,10 +547,10 @@
 
     /// The departure of a target that withdraws; `None` if it is unknown.
     pub fn withdrawal(&self, name: &TargetName) -> Option<Departure> {
-        let version = self.latest_versions.get(name)?;
+        let known = self.known_runs.get(name)?;
         Some(Departure {
             target: name.clone(),
-            version: *version,
+            version: known.latest(&self.services)?,
             has_withdrawn: true,
         })
     }
@@ -536,19 +564,12 @@
     pub fn withdraw(&mut self, name: &TargetName) -> bool {
         // Announcements from before it tell nothing.
         self.returning.remove(name);
-        let version = self.latest_versions.get(name).copied();
         if self.table.get(name).is_none() {
             self.table.record_removal(name);
         }
-        if let Some(version) = version {
-            let sequence = u64::MAX;
-            self.add_tombstone(
-                name.clone(),
-                AnnouncementVersion {
-                    sequence,
-                    ..version
-                },
-            );
+        if let Some(known) = self.known_runs.get_mut(name) {
+            known.withdraw();
+            self.add_tombstone(name.clone());
         }
         self.remove_entry(name)
     }
@@ -578,9 +599,7 @@
         self.table.remove(name)
     }
 
-    fn add_tombstone(&mut self, name: TargetName, version: AnnouncementVersion) {
-        self.latest_versions.insert(name.clone(), version);
-        self.unlisted.remove(&name);
+    fn add_tombstone(&mut self, name: TargetName) {
         self.tombstones.push_back(name);
         self.drop_old_tombstones();
     }
@@ -590,8 +609,7 @@
             if let Some(oldest) = self.tombstones.pop_front()
                 && self.table.get(&oldest).is_none()
             {
-                self.latest_versions.remove(&oldest);
-                self.unlisted.remove(&oldest);
+                self.known_runs.remove(&oldest);
                 self.returning.remove(&oldest);
                 self.repeated_withdrawals.remove(&oldest);
             }
@@ -604,8 +622,9 @@
         if !expired.is_empty() {
             let table = &self.table;
             self.by_address.retain(|_, name| table.get(name).is_some());
-            let names = expired.iter().cloned();
-            self.unlisted.extend(names.map(|name| (name, None)));
+            for name in &expired {
+                self.note_absence(name);
+            }
             self.tombstones.extend(expired.iter().cloned());
             self.drop_old_tombstones();
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,6 +14,7 @@
 pub mod departures;
 pub mod directory;
 mod document_checks;
+pub mod known_runs;
 pub mod limits;
 pub mod members;
 pub mod orders;
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -418,6 +418,167 @@
     assert_eq!(names(&directory), [("t".into(), false)]);
 }
 
+/// What another writer does under the name `t` of a target of a named service, between its withdrawal
+/// and its late announcements.
+#[derive(Clone, Copy, Debug)]
+enum Intrusion {
+    /// An entry for an unnamed service.
+    Entry { started: u64, leaves: bool },
+    /// The same, once the lease of the entry has expired.
+    ExpiredEntry { started: u64 },
+    /// An entry that is listed before the document is known.
+    EntryBeforeDocument { started: u64 },
+    /// The same, and its lease expires.
+    ExpiredBeforeDocument { started: u64 },
+    /// Entries for many services before the document is known.
+    ManyBeforeDocument,
+}
+
+const INTRUSIONS: [Intrusion; 10] = [
+    Intrusion::Entry {
+        started: 5,
+        leaves: false,
+    },
+    Intrusion::Entry {
+        started: 10,
+        leaves: false,
+    },
+    Intrusion::Entry {
+        started: 20,
+        leaves: false,
+    },
+    Intrusion::Entry {
+        started: 20,
+        leaves: true,
+    },
+    Intrusion::ExpiredEntry { started: 10 },
+    Intrusion::ExpiredEntry { started: 20 },
+    Intrusion::EntryBeforeDocument { started: 20 },
+    Intrusion::ExpiredBeforeDocument { started: 10 },
+    Intrusion::ExpiredBeforeDocument { started: 20 },
+    Intrusion::ManyBeforeDocument,
+];
+
+impl Intrusion {
+    /// Plays it to a directory that does not know the document yet; the document is known after it.
+    fn play(self, directory: &mut Directory, now_ms: u64) {
+        let is_before = !matches!(self, Self::Entry { .. } | Self::ExpiredEntry { .. });
+        if !is_before {
+            directory.set_services(named_services());
+        }
+        match self {
+            Self::Entry { started, leaves } => {
+                directory.announce(foreign("t", started, 1, leaves, 9), now_ms);
+            }
+            Self::ExpiredEntry { started }
+            | Self::EntryBeforeDocument { started }
+            | Self::ExpiredBeforeDocument { started } => {
+                directory.announce(foreign("t", started, 1, false, 9), now_ms);
+            }
+            Self::ManyBeforeDocument => {
+                for number in 0..20 {
+                    let mut entry = foreign("t", 20 + number, 1, false, 9);
+                    entry.entry.service = format!("archive-{number}").as_str().into();
+                    directory.announce(entry, now_ms);
+                }
+            }
+        }
+        if matches!(
+            self,
+            Self::ExpiredEntry { .. } | Self::ExpiredBeforeDocument { .. }
+        ) {
+            directory.expire(0, now_ms + 1);
+        }
+        directory.set_services(named_services());
+    }
+}
+
+/// Guards against a withdrawn target that late announcements list again, as an entry for an unnamed
+/// service has replaced its tombstone (review case 15).
+#[test]
+fn an_entry_for_an_unnamed_service_replaces_no_tombstone() {
+    for intrusion in INTRUSIONS {
+        let mut directory = Directory::default();
+        directory.announce(announcement("t", 10, 1, false), 0);
+        directory.withdraw(&"t".into());
+        intrusion.play(&mut directory, 10);
+        for sequence in [2, 3, 4] {
+            let now_ms = 100 * sequence;
+            directory.announce(announcement("t", 10, sequence, false), now_ms);
+            assert!(directory.has_departed(&"t".into()), "{intrusion:?}");
+        }
+        assert_eq!(directory.take_returns(), [], "{intrusion:?}");
+        let withdrawal = directory.withdrawal(&"t".into()).unwrap();
+        assert_eq!(withdrawal.version.started_unix_ms, 10, "{intrusion:?}");
+        assert!(
+            directory.announce(announcement("t", 11, 1, false), 600),
+            "its next run beside {intrusion:?}"
+        );
+        assert_eq!(names(&directory), [("t".into(), false)], "{intrusion:?}");
+    }
+}
+
+/// Guards against a target that is listed without a return, so that its departure stays in the log and
+/// the next leader removes the target (SOAK_SEED=73).
+#[test]
+fn a_run_is_back_by_its_return_only_beside_an_entry_for_an_unnamed_service() {
+    for intrusion in INTRUSIONS {
+        let mut directory = Directory::default();
+        directory.announce(announcement("t", 10, 1, false), 0);
+        let withdrawal = directory.withdrawal(&"t".into()).unwrap();
+        directory.withdraw(&"t".into());
+        intrusion.play(&mut directory, 10);
+        let mut departures = Departures::default();
+        departures.record(withdrawal);
+        let mut returned_ms = None;
+        for interval in 1..=12 {
+            let now_ms = interval * INTERVAL_MS;
+            directory.announce(announcement("t", 10, 1 + interval, false), now_ms);
+            directory.expire(5 * INTERVAL_MS, now_ms);
+            for back in directory.take_returns() {
+                departures.forget(&back);
+                directory.apply_return(&back, now_ms);
+                returned_ms = returned_ms.or(Some(now_ms));
+            }
+            assert_eq!(
+                directory.has_departed(&"t".into()),
+                returned_ms.is_none(),
+                "{intrusion:?} at {now_ms} ms"
+            );
+        }
+        let returned_ms = returned_ms.expect("the run is shown to be there");
+        assert!(returned_ms >= RETURN_MS, "{intrusion:?}: {returned_ms}");
+        assert_eq!(departures.iter().count(), 0, "{intrusion:?}");
+    }
+}
+
+/// Guards against the same at a new leader, whose cache lists that entry and whose log has the
+/// departure.
+#[test]
+fn a_departure_in_the_log_binds_beside_a_cached_entry_for_an_unnamed_service() {
+    for (started, has_withdrawn) in [(5, true), (10, true), (20, true), (20, false)] {
+        let cached = vec![foreign("t", started, 1, false, 9)];
+        let mut directory = Directory::from_announcements(cached, 0);
+        directory.set_services(named_services());
+        directory.apply_departure(&departure(9, 10, has_withdrawn));
+        assert!(!directory.announce(announcement("t", 10, 7, false), 10));
+        assert!(!directory.announce(announcement("t", 10, 8, false), 20));
+        assert!(directory.has_departed(&"t".into()), "{started}");
+        assert!(directory.announce(announcement("t", 11, 1, false), 30));
+        assert_eq!(names(&directory), [("t".into(), false)]);
+    }
+}
+
+/// Guards against an entry for an unnamed service that leaves its mark on a run of a target.
+#[test]
+fn a_target_does_not_take_over_that_another_writer_drained_its_name() {
+    let mut directory = Directory::default();
+    directory.announce(foreign("t", 10, 1, true, 9), 0);
+    directory.set_services(named_services());
+    assert!(directory.announce(announcement("t", 10, 2, false), 10));
+    assert_eq!(names(&directory), [("t".into(), false)]);
+}
+
 #[test]
 fn a_view_keeps_the_target_of_a_named_service_at_an_address() {
     let entries = [
@@ -562,7 +723,7 @@
 impl Arbitrary for Arrived {
     fn arbitrary(g: &mut Gen) -> Self {
         let length = u8::arbitrary(g) % 10;
-        let message = |g: &mut Gen| (u64::arbitrary(g) % 3, usize::arbitrary(g) % 5);
+        let message = |g: &mut Gen| (u64::arbitrary(g) % 3, usize::arbitrary(g) % 6);
         Self((0..length).map(|_| message(g)).collect())
     }
 }
@@ -596,7 +757,11 @@
 impl Leader {
     /// Receives a message; returns the departure that it acknowledges.
     fn receive(&mut self, start: u64, position: usize) -> Option<Departure> {
-        let said = RUNS[start as usize][position];
+        let Some(said) = RUNS[start as usize].get(position).copied() else {
+            // Another writer's entry for a service that is not named.
+            self.directory.announce(foreign("t", start, 9, false, 9), 0);
+            return None;
+        };
         let departure = match said {
             Said::Withdrawn => {
                 let departure = self.directory.withdrawal(&"t".into());
@@ -625,6 +790,7 @@
     /// The next leader, which has cached these announcements at some time.
     fn successor(&self, cached: Vec<TargetAnnouncement>) -> Self {
         let mut directory = Directory::from_announcements(cached, 0);
+        directory.set_services(named_services());
         for departure in self.departures.iter() {
             directory.apply_departure(departure);
         }
@@ -639,7 +805,9 @@
     fn serves(&self, departure: &Departure) -> bool {
         let mut targets = self.directory.targets().into_iter();
         targets.any(|listed| {
-            !listed.leaving && listed.started_unix_ms <= departure.version.started_unix_ms
+            listed.service == "drafts".into()
+                && !listed.leaving
+                && listed.started_unix_ms <= departure.version.started_unix_ms
         })
     }
 }
@@ -649,6 +817,7 @@
 /// acknowledged but not applied.
 fn acknowledged_departures_bind(arrived: Arrived, changes: Vec<bool>) -> bool {
     let mut leader = Leader::default();
+    leader.directory.set_services(named_services());
     let mut cached = Vec::new();
     let mut acknowledged: Vec<Departure> = Vec::new();
     let mut changes = changes.into_iter().cycle();
