Bytes without an id on a reused connection answer no request

Callers of a target that sends additional bytes after one in 50 of its responses got these bytes as the answer to their own request: a success without a signature, while the target's answer to them came right after it.

Cause: a response without an id was taken for that of the last request on its connection, unless it said "not run". On a connection that has carried a request this proves nothing. It is now of unknown origin whatever it says: the request may have run, so it is not answered as "not run", and only repeatable ones are sent again. A target that answers without the id gets each request on a new connection for 10 s, as it did after refusals; there the response can only be its own, so callers of a target that names no request lose nothing, and one that sends additional bytes harms one request in 10 s. A request that has no id itself always gets a new connection. Right before a request is sent the socket is asked whether anything has arrived: the HTTP library relies on the runtime's notice, which may come after the request is written. A new connection that a handover did not use counts no longer as one that carried a request.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -417,7 +417,9 @@
         let sent_ms = clock::boot_ms();
         let target = slot.target.clone();
         let has_departed = slot.departure_check();
-        let mut call = pin!(self.connections.call(&target, request, has_departed).fuse());
+        let kind = incoming.connection_kind();
+        let call = self.connections.call(&target, kind, request, has_departed);
+        let mut call = pin!(call.fuse());
         let silence_timeout = Duration::from_millis(silence_timeout_ms);
         let called = match timeout(silence_timeout, call.as_mut()).await {
             Ok(called) => called,
@@ -523,17 +525,16 @@
             sent_id: incoming.metadata.id.as_deref(),
             stated_id: metadata.id.as_deref(),
             is_connection_reused: connection.is_reused(),
-            says_not_run: metadata.not_run || promises_not_run(response.status()),
         };
-        if traits.is_refusal_without_id() {
+        if traits.lacks_id() {
             self.connections.suspend_reuse(&slot.target);
         }
         let origin = traits.origin();
         if origin != ResponseOrigin::ThisRequest {
             // What it says about the target may be outdated.
             let status = response.status().as_u16();
-            tracing::warn!(request = incoming.id, target = %slot.target.name, status, ?origin, "gateway: response may be to another request");
-            let message = "the answer may be to another request".to_string();
+            tracing::warn!(request = incoming.id, target = %slot.target.name, status, ?origin, "gateway: response may not be to this request");
+            let message = "the answer may not be to this request".to_string();
             return AttemptOutcome::Failed(Reason::TargetFailed, message);
         }
         if metadata.leaves && !metadata.is_another {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -1,5 +1,6 @@
 //! Connection pool for the targets.
 
+use super::target_stream::TargetStream;
 use crate::{
     control::directory::TargetEntry,
     target_run::TargetRun,
@@ -37,7 +38,7 @@
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 4000;
 /// Margin by which an idle connection is discarded before the target closes it.
 const IDLE_MARGIN_MS: u64 = 700;
-/// Time for which connections to a target that refused a request without its id are not reused.
+/// Time for which connections to a target that answered a request without its id are not reused.
 const REUSE_SUSPENSION_MS: u64 = 10_000;
 
 /// A connection to a target. Dropping it closes the connection and cancels the request that
@@ -45,6 +46,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    stream: TargetStream,
     idle_timeout_ms: u64,
     last_used: Instant,
     /// Whether an earlier request was sent on it.
@@ -59,6 +61,15 @@
     }
 }
 
+/// Connection that a request is sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionKind {
+    /// One that was kept, if there is one.
+    KeptOrNew,
+    /// One that carried no request before.
+    New,
+}
+
 /// Failure of a call to a target.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("{reason}: {error}")]
@@ -76,24 +87,25 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<TargetRun, Vec<Connection>>>,
-    /// Targets whose connections are not reused, and when each last refused a request without
+    /// Targets whose connections are not reused, and when each last answered a request without
     /// its id.
     suspended: Mutex<HashMap<TargetRun, Instant>>,
 }
 
 impl ConnectionPool {
-    /// Sends a request and waits for the head of its response. Nothing is sent if `has_departed`
-    /// tells right before that the target gets no new requests.
+    /// Sends a request, on a connection of this kind, and waits for the head of its response.
+    /// Nothing is sent if `has_departed` tells right before that the target gets no new requests.
     ///
     /// # Errors
     /// Returns an error with the verdict "not run" if nothing was sent, "may have run" otherwise.
     pub async fn call(
         &self,
         target: &TargetEntry,
+        kind: ConnectionKind,
         request: Request<Full<Bytes>>,
         has_departed: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
-        let connection = self.connect(target).await?;
+        let connection = self.connect(target, kind).await?;
         self.call_on(target, connection, request, has_departed)
             .await
     }
@@ -102,8 +114,16 @@
     ///
     /// # Errors
     /// Returns an error with the verdict "not run" if the target cannot be reached.
-    pub async fn connect(&self, target: &TargetEntry) -> Result<Connection, CallError> {
-        match self.take_idle(target) {
+    pub async fn connect(
+        &self,
+        target: &TargetEntry,
+        kind: ConnectionKind,
+    ) -> Result<Connection, CallError> {
+        let kept = match kind {
+            ConnectionKind::KeptOrNew => self.take_idle(target),
+            ConnectionKind::New => None,
+        };
+        match kept {
             Some(connection) => Ok(connection),
             None => connect(target).await,
         }
@@ -128,6 +148,18 @@
                     error: "the target left before the request was sent".into(),
                 });
             }
+            // What has arrived before the request is sent is no response to it.
+            if connection.stream.has_input() {
+                if !connection.is_pooled {
+                    return Err(CallError {
+                        verdict: Verdict::NotRun,
+                        reason: Reason::LinkLost,
+                        error: "the target sent bytes or closed before it got a request".into(),
+                    });
+                }
+                connection = self.connect(target, ConnectionKind::KeptOrNew).await?;
+                continue;
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.idle_timeout_ms = idle_timeout_ms(response.headers());
@@ -138,7 +170,7 @@
                     // likely to.
                     Some(unsent) if connection.is_pooled => {
                         request = unsent;
-                        connection = self.connect(target).await?;
+                        connection = self.connect(target, ConnectionKind::KeptOrNew).await?;
                     }
                     Some(_) => {
                         return Err(CallError {
@@ -178,7 +210,7 @@
         }
     }
 
-    /// Sends each request to the target on a new connection for some time: there a refusal without
+    /// Sends each request to the target on a new connection for some time: there a response without
     /// an id belongs to the request.
     pub fn suspend_reuse(&self, target: &TargetEntry) {
         let earlier = self
@@ -188,7 +220,7 @@
         if earlier.is_none() {
             tracing::warn!(
                 target = %target.name, for_ms = REUSE_SUSPENSION_MS,
-                "gateway: target refuses without an id, its connections are not reused"
+                "gateway: target answers without an id, its connections are not reused"
             );
         }
     }
@@ -307,7 +339,8 @@
 
 async fn handshake(stream: TcpStream) -> Result<Connection, CallError> {
     configure_socket(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let stream = TargetStream::new(stream);
+    let handshake = http1::handshake(TokioIo::new(stream.clone())).await;
     let (sender, connection) = handshake.map_err(|error| not_connected(io::Error::other(error)))?;
     let driver = tokio::spawn(async move {
         // An error is reported by the call that fails because of it.
@@ -316,6 +349,7 @@
     Ok(Connection {
         sender,
         driver,
+        stream,
         idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
         last_used: Instant::now(),
         is_reused: false,
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -267,7 +267,7 @@
                 slot.give_back();
                 return Some(HandoverOutcome::Kept(output));
             }
-            connected = self.connections.connect(&target) => connected,
+            connected = self.connections.connect(&target, incoming.connection_kind()) => connected,
             () = sleep(Duration::from_millis(incoming.left_ms())) => {
                 slot.give_back();
                 return Some(HandoverOutcome::Expired);
@@ -276,7 +276,7 @@
         let connection = match connected {
             Ok(connection) if self.spend_retry(&incoming.service) => connection,
             Ok(connection) => {
-                self.connections.release(&target, connection);
+                self.connections.keep(&target, connection);
                 slot.give_back();
                 return None;
             }
--- a/src/gateway/incoming_request.rs
+++ b/src/gateway/incoming_request.rs
@@ -2,6 +2,7 @@
 
 use super::{
     byte_budget::{ByteBudget, ByteReservation},
+    connections::ConnectionKind,
     dialect::{PromptPart, RequestMetadata, TrafficDialect},
     request_body::{self, ReadBodyError},
 };
@@ -152,6 +153,15 @@
         self.may_have_run.store(may_have_run, Ordering::Relaxed);
     }
 
+    /// Returns the kind of connection that the request is sent on. Without an id its response cannot
+    /// be told from other bytes on a connection that carried a request before.
+    pub fn connection_kind(&self) -> ConnectionKind {
+        match self.metadata.id {
+            Some(_) => ConnectionKind::KeptOrNew,
+            None => ConnectionKind::New,
+        }
+    }
+
     /// Returns the time left until the deadline, in milliseconds.
     pub fn left_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(clock::boot_ms())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod starvation;
 mod stop_time;
 pub mod suspects;
+mod target_stream;
 mod targets;
 pub mod version_outcomes;
 pub mod versions;
--- a/src/gateway/response_origin.rs
+++ b/src/gateway/response_origin.rs
@@ -1,17 +1,17 @@
 //! Decides whether a response belongs to the request that was sent on its connection.
 //!
-//! A faulty target may write a response to an earlier request once more. If the next request has
-//! been sent on the connection by then, the bytes arrive in place of its response. A response that
-//! says that the request did not run is believed only if it must belong to this request, as the
-//! request may be running.
+//! A faulty target may write a response to an earlier request once more, or bytes that look like a
+//! response and belong to no request. If the next request has been sent on the connection by then,
+//! they arrive in place of its response, while the request may be running. So a response is
+//! believed only if it must belong to this request. Targets repeat the id of a request in its
+//! response.
 //!
-//! | id in the response | connection | says "not run" | origin |
-//! |---|---|---|---|
-//! | that of the request | any | any | this request |
-//! | another one | any | any | another request |
-//! | none | new | any | this request: no other one was sent on the connection |
-//! | none | reused | no | this request |
-//! | none | reused | yes | unknown |
+//! | id in the response | connection | origin |
+//! |---|---|---|
+//! | that of the request | any | this request |
+//! | another one | any | another request |
+//! | none | new | this request: no other one was sent on the connection |
+//! | none | reused | unknown |
 
 use hyper::StatusCode;
 
@@ -22,7 +22,7 @@
     ThisRequest,
     /// An earlier request, possibly on another connection.
     AnotherRequest,
-    /// This request or an earlier one.
+    /// This request, an earlier one or none.
     Unknown,
 }
 
@@ -35,8 +35,6 @@
     pub stated_id: Option<&'a str>,
     /// Whether an earlier request was sent on the connection.
     pub is_connection_reused: bool,
-    /// Whether the response says that its request did not run.
-    pub says_not_run: bool,
 }
 
 impl ResponseTraits<'_> {
@@ -45,15 +43,15 @@
         match self.stated_id {
             Some(_) if self.stated_id == self.sent_id => ResponseOrigin::ThisRequest,
             Some(_) => ResponseOrigin::AnotherRequest,
-            None if self.is_connection_reused && self.says_not_run => ResponseOrigin::Unknown,
+            None if self.is_connection_reused => ResponseOrigin::Unknown,
             None => ResponseOrigin::ThisRequest,
         }
     }
 
-    /// Returns whether the target refuses a request without the id that it was sent. Such a
-    /// refusal can be believed on a new connection only.
-    pub fn is_refusal_without_id(&self) -> bool {
-        self.says_not_run && self.sent_id.is_some() && self.stated_id.is_none()
+    /// Returns whether the response lacks the id that the request had. Such a response can be
+    /// believed on a new connection only.
+    pub fn lacks_id(&self) -> bool {
+        self.sent_id.is_some() && self.stated_id.is_none()
     }
 }
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -3,14 +3,15 @@
 use bytes::Bytes;
 use guavacove::{
     control::directory::TargetEntry,
-    gateway::connections::{CallError, ConnectionPool},
+    gateway::connections::{CallError, ConnectionKind::KeptOrNew, ConnectionPool},
     request_limit::RequestLimit,
     units::TargetVersion,
     verdict::{Reason, Verdict},
 };
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use std::{
+    io::{Read, Write},
     net::SocketAddr,
     sync::atomic::{AtomicUsize, Ordering},
 };
@@ -51,7 +52,10 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let target = target(listener.local_addr().unwrap());
     let pool = ConnectionPool::default();
-    let error = pool.call(&target, request(), || true).await.err();
+    let error = pool
+        .call(&target, KeptOrNew, request(), || true)
+        .await
+        .err();
     assert_not_sent(&error.unwrap());
     let (mut stream, _) = listener.accept().await.unwrap();
     let mut received = Vec::new();
@@ -74,12 +78,15 @@
         (listener, stream)
     });
     let pool = ConnectionPool::default();
-    let (response, connection) = pool.call(&target, request(), || false).await.unwrap();
+    let (response, connection) = pool
+        .call(&target, KeptOrNew, request(), || false)
+        .await
+        .unwrap();
     drop(response);
     tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     pool.release(&target, connection);
     let (listener, mut stream) = serving.await.unwrap();
-    let connection = pool.connect(&target).await.unwrap();
+    let connection = pool.connect(&target, KeptOrNew).await.unwrap();
     assert!(connection.is_reused(), "the kept one");
     stream.shutdown().await.unwrap();
     drop(stream);
@@ -97,3 +104,52 @@
     );
     drop(listener);
 }
+
+/// Reads a request head and writes an answer with this body.
+fn answer_one(stream: &mut std::net::TcpStream, body: &str) {
+    let mut head = [0; 1024];
+    assert!(stream.read(&mut head).unwrap() > 0, "a request");
+    let length = body.len();
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+    stream.write_all(answer.as_bytes()).unwrap();
+}
+
+/// Guards against passing on, as the answer to a request, bytes that were there before the request
+/// was sent: the runtime had not been told of them.
+#[tokio::test]
+async fn bytes_that_arrive_before_a_request_are_not_its_response() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let target = target(listener.local_addr().unwrap());
+    let serving = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        answer_one(&mut stream, "first");
+        (listener, stream)
+    });
+    let pool = ConnectionPool::default();
+    let called = pool.call(&target, KeptOrNew, request(), || false).await;
+    let (response, connection) = called.unwrap();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    assert_eq!(body, "first");
+    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    pool.release(&target, connection);
+    let (listener, mut first_stream) = serving.join().unwrap();
+    let serving = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        answer_one(&mut stream, "second");
+        stream
+    });
+    // The runtime's only thread does not wait for input between this write and the request.
+    let additional = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra";
+    first_stream.write_all(additional).unwrap();
+    let called = pool.call(&target, KeptOrNew, request(), || false).await;
+    let (response, _connection) = called.unwrap();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    assert_eq!(body, "second");
+    let mut received = Vec::new();
+    let _ = first_stream.read_to_end(&mut received);
+    assert_eq!(
+        received, b"",
+        "the request was sent on a new connection only"
+    );
+    serving.join().unwrap();
+}
