Reset the connection of a request that is given up

Targets that were leaving got and ran requests whose callers had left or been answered by another target six seconds before, some of them not repeatable and past their callers' deadline. They had been sent in the first 0.2 s of a cut of the link.

Cause: a gateway gives a request up by dropping its connection. This closed the socket in order, so the operating system went on to retransmit what the target had not acknowledged, and delivered it after the cut had healed. Nothing asks then whether the target still takes work.

A connection that is dropped between the sending of its request and the end of the response now lingers for 0 s on close: the operating system discards what it holds and resets the connection. After a whole response it is closed in order, as before. A target that works on the request learns of the end as before, by a reset in place of an orderly end.

Left as it is: TCP_USER_TIMEOUT (10 s). A lower one would also end connections to targets that live and only read slowly, and callers would lose their answers. So a request that a caller still waits for may be delivered after a cut, within its deadline.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -42,7 +42,7 @@
 const REUSE_SUSPENSION_MS: u64 = 10_000;
 
 /// A connection to a target. Dropping it closes the connection and cancels the request that
-/// runs on it.
+/// runs on it; the connection is then reset, and what has not reached the target never does.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
@@ -53,10 +53,16 @@
     is_reused: bool,
     /// Whether it was kept idle, so that its target may have closed it meanwhile.
     is_pooled: bool,
+    /// Whether a request was sent on it whose response has not been read completely.
+    is_in_progress: bool,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.is_in_progress {
+            // An orderly close would go on to deliver the request, seconds later if the link is cut.
+            self.stream.reset_on_close();
+        }
         self.driver.abort();
     }
 }
@@ -160,6 +166,7 @@
                 connection = self.connect(target, ConnectionKind::KeptOrNew).await?;
                 continue;
             }
+            connection.is_in_progress = true;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.idle_timeout_ms = idle_timeout_ms(response.headers());
@@ -195,6 +202,7 @@
     pub fn release(&self, target: &TargetEntry, mut connection: Connection) {
         connection.last_used = Instant::now();
         connection.is_reused = true;
+        connection.is_in_progress = false;
         self.keep(target, connection);
     }
 
@@ -274,6 +282,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, hyper::Error> {
+        self.is_in_progress = true;
         let response = self.sender.send_request(request).await?;
         self.idle_timeout_ms = idle_timeout_ms(response.headers());
         Ok(response)
@@ -354,6 +363,7 @@
         last_used: Instant::now(),
         is_reused: false,
         is_pooled: false,
+        is_in_progress: false,
     })
 }
 
--- a/src/gateway/target_stream.rs
+++ b/src/gateway/target_stream.rs
@@ -8,6 +8,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -31,6 +32,14 @@
         let peeked = SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]);
         !matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
+
+    /// Makes the operating system discard what has not been delivered when the socket is closed,
+    /// and reset the connection.
+    pub fn reset_on_close(&self) {
+        if let Err(error) = SockRef::from(&*self.0).set_linger(Some(Duration::ZERO)) {
+            tracing::debug!(%error, "gateway: an abandoned connection is closed in order");
+        }
+    }
 }
 
 impl AsyncRead for TargetStream {
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -11,13 +11,15 @@
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use std::{
-    io::{Read, Write},
+    io::{ErrorKind, Read, Write},
     net::SocketAddr,
     sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
+    time::timeout,
 };
 
 fn target(address: SocketAddr) -> TargetEntry {
@@ -83,7 +85,7 @@
         .await
         .unwrap();
     drop(response);
-    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
     pool.release(&target, connection);
     let (listener, mut stream) = serving.await.unwrap();
     let connection = pool.connect(&target, KeptOrNew).await.unwrap();
@@ -91,7 +93,7 @@
     stream.shutdown().await.unwrap();
     drop(stream);
     // The connection finds out before the request is sent.
-    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
     let checks = AtomicUsize::new(0);
     let has_departed = || checks.fetch_add(1, Ordering::Relaxed) > 0;
     let call = pool.call_on(&target, connection, request(), has_departed);
@@ -130,7 +132,7 @@
     let (response, connection) = called.unwrap();
     let body = response.into_body().collect().await.unwrap().to_bytes();
     assert_eq!(body, "first");
-    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
     pool.release(&target, connection);
     let (listener, mut first_stream) = serving.join().unwrap();
     let serving = std::thread::spawn(move || {
@@ -153,3 +155,51 @@
     );
     serving.join().unwrap();
 }
+
+/// Guards against a request that was given up and reaches its target later: an orderly close goes on
+/// to deliver what the operating system holds, and a cut link holds it for seconds.
+#[tokio::test]
+async fn a_request_that_is_given_up_is_not_delivered_later() {
+    const BODY_BYTES: usize = 1 << 20;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let target = target(listener.local_addr().unwrap());
+    let pool = ConnectionPool::default();
+    let request = Request::builder().method("POST").uri("/x");
+    let request = request.header("host", "h");
+    let body = Full::new(Bytes::from(vec![b'x'; BODY_BYTES]));
+    let call = pool.call(&target, KeptOrNew, request.body(body).unwrap(), || false);
+    // The target does not read, so a part of the request stays on the gateway's side.
+    let given_up = timeout(Duration::from_millis(200), call).await;
+    assert!(given_up.is_err(), "no answer");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let (mut stream, _) = listener.accept().unwrap();
+    let mut received = Vec::new();
+    let end = stream
+        .read_to_end(&mut received)
+        .map_err(|error| error.kind());
+    let received = received.len();
+    assert_eq!(end, Err(ErrorKind::ConnectionReset), "{received} bytes");
+    assert!(received < BODY_BYTES, "{received} bytes");
+}
+
+/// Guards against a reset in place of an orderly close after a whole response.
+#[tokio::test]
+async fn a_connection_is_closed_in_order_after_a_whole_response() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let target = target(listener.local_addr().unwrap());
+    let serving = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        answer_one(&mut stream, "whole");
+        let mut rest = Vec::new();
+        stream.read_to_end(&mut rest).map_err(|error| error.kind())
+    });
+    let pool = ConnectionPool::default();
+    let called = pool.call(&target, KeptOrNew, request(), || false).await;
+    let (response, connection) = called.unwrap();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    assert_eq!(body, "whole");
+    pool.release(&target, connection);
+    drop(pool);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(serving.join().unwrap(), Ok(0));
+}
